--- /dev/null
+++ b/internal/world/contract/quarantine.go
@@ -0,0 +1,104 @@
+package contract
+
+import (
+	"maps"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"daisystage.example/daisystage/internal/container/rcu"
+)
+
+const (
+	// quarantineAt is the number of servers lost to a fingerprint at which it
+	// is refused.
+	quarantineAt = 2
+	// crashMemory is how long a crash counts against a fingerprint.
+	crashMemory = 10 * time.Minute
+	// provenCount bounds the fingerprints that are known to be harmless.
+	provenCount = 1 << 14
+)
+
+// Fingerprint identifies a request by its route and body.
+func Fingerprint(route string, body []byte) uint64 {
+	dg := xxhash.New()
+	_, _ = dg.WriteString(route)
+	_, _ = dg.Write([]byte{0})
+	_, _ = dg.Write(body)
+	return dg.Sum64()
+}
+
+// Crashes lists the servers that were lost while they ran one fingerprint.
+type Crashes struct {
+	// Servers is ordered and holds each name once.
+	Servers []string  `json:"servers"`
+	Until   time.Time `json:"until"`
+}
+
+// Quarantine knows which requests crash servers. Its methods may be called by
+// any number of goroutines. Make one with NewQuarantine.
+type Quarantine struct {
+	crashes *rcu.Value[map[uint64]Crashes]
+	// proven holds fingerprints of requests that were answered, each in the
+	// place that its low bits name.
+	proven []atomic.Uint64
+}
+
+// NewQuarantine returns an empty quarantine.
+func NewQuarantine() *Quarantine {
+	return &Quarantine{
+		crashes: rcu.New(map[uint64]Crashes{}),
+		proven:  make([]atomic.Uint64, provenCount),
+	}
+}
+
+// Crashed records that a server was lost while it ran a fingerprint, and
+// reports whether that was news.
+func (qn *Quarantine) Crashed(now time.Time, fingerprint uint64, server string) bool {
+	news := false
+	qn.crashes.Update(func(old map[uint64]Crashes) map[uint64]Crashes {
+		next := maps.Clone(old)
+		maps.DeleteFunc(next, func(_ uint64, cr Crashes) bool { return now.After(cr.Until) })
+		cr := next[fingerprint]
+		if !slices.Contains(cr.Servers, server) {
+			news = true
+			cr.Servers = append(slices.Clone(cr.Servers), server)
+			slices.Sort(cr.Servers)
+		}
+		cr.Until = now.Add(crashMemory)
+		next[fingerprint] = cr
+		return next
+	})
+	return news
+}
+
+// Count returns the number of servers lost to a fingerprint.
+func (qn *Quarantine) Count(now time.Time, fingerprint uint64) int {
+	cr, ok := (*qn.crashes.Load())[fingerprint]
+	if !ok || now.After(cr.Until) {
+		return 0
+	}
+	return len(cr.Servers)
+}
+
+// Bars reports whether requests of the fingerprint are refused.
+func (qn *Quarantine) Bars(now time.Time, fingerprint uint64) bool {
+	return qn.Count(now, fingerprint) >= quarantineAt
+}
+
+// Current returns all fingerprints with crashes. The map must not be changed.
+func (qn *Quarantine) Current() map[uint64]Crashes {
+	return *qn.crashes.Load()
+}
+
+// Proved records that a request of the fingerprint was answered.
+func (qn *Quarantine) Proved(fingerprint uint64) {
+	qn.proven[fingerprint%provenCount].Store(fingerprint)
+}
+
+// IsProven reports whether a request of the fingerprint was answered of late.
+func (qn *Quarantine) IsProven(fingerprint uint64) bool {
+	return qn.proven[fingerprint%provenCount].Load() == fingerprint
+}
--- /dev/null
+++ b/internal/world/machine/server.go
@@ -0,0 +1,176 @@
+// Package machine describes the machines of the system, backend servers and
+// entry VMs, and decides which of them may get work.
+package machine
+
+import (
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// limitUnit is one request in the fixed-point in-flight limit.
+	limitUnit = 1000
+	// coldLimit is the in-flight limit of a server that was not used yet.
+	coldLimit = 2 * limitUnit
+	// lowestLimit keeps a probe of one request going.
+	lowestLimit = 1 * limitUnit
+	// decrease is the factor, in 1/100, on a sign of overload.
+	decrease = 70
+	// decreasePause is the shortest time between two decreases.
+	decreasePause = 100 * time.Millisecond
+	// readmitAfter is how long all sources must agree before a leaving
+	// server gets work again.
+	readmitAfter = 10 * time.Second
+	// suspectTime is how long a server that failed is tried last.
+	suspectTime = 2 * time.Second
+	// reportAge is how long a load report is used as a hint.
+	reportAge = 3 * time.Second
+)
+
+// Server is one backend server.
+type Server struct {
+	Name    string `json:"name"`
+	Service string `json:"service"`
+	Zone    string `json:"zone"`
+	Address string `json:"address"`
+	// Slots is the number of requests that the server runs at once, at least 1.
+	Slots int `json:"slots"`
+	// ConnectionLimit is the number of connections that the server accepts
+	// from all entry VMs together, at least 1.
+	ConnectionLimit int `json:"connection_limit"`
+	// Leaving is set when the platform's record says so.
+	Leaving bool `json:"leaving"`
+	// State is shared by all copies of the server and lives as long as its
+	// name. It is not nil in a view.
+	State *ServerState `json:"-"`
+}
+
+// ServerState is what this process knows of a server from its own traffic.
+type ServerState struct {
+	// InFlight counts the parts that wait for the server or run on it.
+	InFlight atomic.Int64
+	// Limit is the adaptive in-flight limit in 1/1000 requests; 0 is cold.
+	Limit atomic.Int64
+	// LimitCutAt is when the limit was last decreased, in Unix nanoseconds.
+	LimitCutAt atomic.Int64
+	// LeavingAt is when a source last said that the server leaves, in Unix
+	// nanoseconds; 0 is never.
+	LeavingAt atomic.Int64
+	// SuspectUntil is in Unix nanoseconds.
+	SuspectUntil atomic.Int64
+	// ReportedLoad is the number of requests that the server says it has.
+	ReportedLoad atomic.Int64
+	// ReportedAt is when the load was reported, in Unix nanoseconds.
+	ReportedAt atomic.Int64
+	// Runs counts the parts sent.
+	Runs atomic.Int64
+}
+
+// CurrentLimit returns the in-flight limit in requests, at least 1.
+func (st *ServerState) CurrentLimit() int64 {
+	limit := st.Limit.Load()
+	if limit == 0 {
+		limit = coldLimit
+	}
+	return limit / limitUnit
+}
+
+// Succeeded raises the in-flight limit, by one request for each limit's worth
+// of answers, while the server is in full use. most is the highest limit.
+func (st *ServerState) Succeeded(most int64) {
+	limit := st.Limit.Load()
+	if limit == 0 {
+		limit = coldLimit
+	}
+	if st.InFlight.Load()*limitUnit < limit-limitUnit {
+		return
+	}
+	raised := min(limit+limitUnit*limitUnit/limit, most*limitUnit)
+	st.Limit.CompareAndSwap(st.Limit.Load(), max(raised, lowestLimit))
+}
+
+// Overloaded lowers the in-flight limit after the server shed or timed out.
+func (st *ServerState) Overloaded(now time.Time) {
+	cut := st.LimitCutAt.Load()
+	if now.UnixNano()-cut < int64(decreasePause) {
+		return
+	}
+	if !st.LimitCutAt.CompareAndSwap(cut, now.UnixNano()) {
+		return
+	}
+	limit := st.Limit.Load()
+	if limit == 0 {
+		limit = coldLimit
+	}
+	st.Limit.Store(max(limit*decrease/100, lowestLimit))
+}
+
+// Failed makes the server the last choice for a while.
+func (st *ServerState) Failed(now time.Time) {
+	st.SuspectUntil.Store(now.Add(suspectTime).UnixNano())
+}
+
+// Suspect reports whether the server failed a short while ago.
+func (st *ServerState) Suspect(now time.Time) bool {
+	return now.UnixNano() < st.SuspectUntil.Load()
+}
+
+// MarkLeaving records that a source says that the server leaves.
+func (st *ServerState) MarkLeaving(now time.Time) {
+	st.LeavingAt.Store(now.UnixNano())
+}
+
+// IsLeaving reports whether the server gets no new work: one source is enough
+// to say so, and the mark ends when none has said it for readmitAfter.
+func (sv *Server) IsLeaving(now time.Time) bool {
+	if sv.Leaving {
+		return true
+	}
+	at := sv.State.LeavingAt.Load()
+	return at != 0 && now.UnixNano()-at < int64(readmitAfter)
+}
+
+// HasRoom reports whether the server is below its in-flight limit.
+func (sv *Server) HasRoom() bool {
+	return sv.State.InFlight.Load() < sv.State.CurrentLimit()
+}
+
+// Pressure returns the work at the server against its limit, in 1/1000. The
+// reported load counts for a quarter while it is fresh.
+func (sv *Server) Pressure(now time.Time) int64 {
+	st := sv.State
+	load := st.InFlight.Load() * 4
+	if now.UnixNano()-st.ReportedAt.Load() < int64(reportAge) {
+		load += st.ReportedLoad.Load() - st.InFlight.Load()
+	}
+	return max(load, 0) * limitUnit / 4 / st.CurrentLimit()
+}
+
+// LessLoaded returns the less loaded of two random servers, the first by name
+// on a tie; nil when there is none. It does not change its argument.
+func LessLoaded(now time.Time, servers []*Server) *Server {
+	switch len(servers) {
+	case 0:
+		return nil
+	case 1:
+		return servers[0]
+	}
+	at := rand.IntN(len(servers))
+	other := rand.IntN(len(servers) - 1)
+	if other >= at {
+		other++
+	}
+	one, two := servers[at], servers[other]
+	p1, p2 := one.Pressure(now), two.Pressure(now)
+	if p1 < p2 || p1 == p2 && one.Name < two.Name {
+		return one
+	}
+	return two
+}
+
+// ConnectionShare returns how many connections one of entryVMs processes may
+// open to the server, at least 1. spare is the room kept for replacements.
+func (sv *Server) ConnectionShare(entryVMs, spare int) int {
+	return max(sv.ConnectionLimit/max(entryVMs+spare, 1), 1)
+}
--- /dev/null
+++ b/internal/world/view/view.go
@@ -0,0 +1,211 @@
+// Package view holds the published state that requests read: settings,
+// servers, snapshots and tokens, as they stand in the platform.
+package view
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"daisystage.example/daisystage/internal/container/cowmap"
+	"daisystage.example/daisystage/internal/world/contract"
+	"daisystage.example/daisystage/internal/world/machine"
+	"daisystage.example/daisystage/internal/world/snapshot"
+)
+
+// The prefixes of the platform's objects that make up a view.
+const (
+	PrefixTeams     = "teams/"
+	PrefixServers   = "servers/"
+	PrefixSnapshots = "snapshots/"
+	PrefixTokens    = "tokens/"
+)
+
+// Prefixes returns all prefixes of a view.
+func Prefixes() []string {
+	return []string{PrefixTeams, PrefixServers, PrefixSnapshots, PrefixTokens}
+}
+
+// Object is one object of the platform.
+type Object struct {
+	Key string
+	// Version rises with each change of any object in the platform.
+	Version int64
+	Value   string
+	Deleted bool
+}
+
+// Token allows its bearer one team's subtree.
+type Token struct {
+	// Author is written into the revisions.
+	Author string `json:"author"`
+	// Subtree is a path prefix that ends in a slash, such as "teams/gaisma/".
+	Subtree string `json:"subtree"`
+}
+
+// Allows reports whether the token may read and change a path.
+func (tk Token) Allows(path string) bool {
+	return strings.HasSuffix(tk.Subtree, "/") && strings.HasPrefix(path, tk.Subtree)
+}
+
+// TokenKey returns the key of the object that describes a token.
+func TokenKey(secret string) string {
+	sum := sha256.Sum256([]byte(secret))
+	return PrefixTokens + hex.EncodeToString(sum[:])
+}
+
+// View is an immutable state. Requests keep the one that they began with.
+type View struct {
+	// Version is the highest version of any object in the view.
+	Version int64
+	// Digest is the xor of a hash of each key and version, so that equal views
+	// have equal digests whatever the order of the changes.
+	Digest uint64
+	// Objects holds all objects, and the marks of deleted ones.
+	Objects     cowmap.Map[Object]
+	Settings    cowmap.Map[*contract.Setting]
+	Servers     cowmap.Map[*machine.Server]
+	Collections cowmap.Map[*snapshot.Collection]
+	Tokens      cowmap.Map[Token]
+}
+
+// ErrOlder says that an object is older than the one in the view.
+var ErrOlder = errors.New("older than the version in force")
+
+// Apply returns the view with an object taken in. Objects of the version in
+// force change nothing; older ones give ErrOlder; objects that can't be read
+// leave what is in force as it is.
+func (vw View) Apply(ob Object) (View, error) {
+	have, known := vw.Objects.Get(ob.Key)
+	if known && ob.Version == have.Version {
+		return vw, nil
+	}
+	if known && ob.Version < have.Version {
+		return vw, fmt.Errorf("object %s at version %d, have %d: %w", ob.Key, ob.Version, have.Version, ErrOlder)
+	}
+	next, err := vw.applyByPrefix(ob)
+	if err != nil {
+		next = vw
+	}
+	next.Objects = next.Objects.With(ob.Key, ob)
+	next.Version = max(next.Version, ob.Version)
+	next.Digest ^= objectHash(ob.Key, ob.Version)
+	if known {
+		next.Digest ^= objectHash(have.Key, have.Version)
+	}
+	return next, err
+}
+
+func (vw View) applyByPrefix(ob Object) (View, error) {
+	switch {
+	case strings.HasPrefix(ob.Key, PrefixTeams):
+		return vw.applySetting(ob)
+	case strings.HasPrefix(ob.Key, PrefixServers):
+		return vw.applyServer(ob)
+	case strings.HasPrefix(ob.Key, PrefixSnapshots):
+		return vw.applySnapshot(ob)
+	case strings.HasPrefix(ob.Key, PrefixTokens):
+		return vw.applyToken(ob)
+	}
+	return vw, fmt.Errorf("object %s has no known prefix", ob.Key)
+}
+
+func (vw View) applySetting(ob Object) (View, error) {
+	if ob.Deleted {
+		vw.Settings = vw.Settings.Without(ob.Key)
+		return vw, nil
+	}
+	st, err := contract.ParseSetting(ob.Key, ob.Version, ob.Value)
+	if err != nil {
+		return vw, fmt.Errorf("apply setting: %w", err)
+	}
+	st.State = contract.NewRouteState()
+	if have, ok := vw.Settings.Get(ob.Key); ok {
+		st.State = have.State
+	}
+	vw.Settings = vw.Settings.With(ob.Key, st)
+	return vw, nil
+}
+
+func (vw View) applyServer(ob Object) (View, error) {
+	name := strings.TrimPrefix(ob.Key, PrefixServers)
+	if ob.Deleted {
+		vw.Servers = vw.Servers.Without(name)
+		return vw, nil
+	}
+	sv := &machine.Server{State: &machine.ServerState{}}
+	if err := json.Unmarshal([]byte(ob.Value), sv); err != nil {
+		return vw, fmt.Errorf("decode %s: %w", ob.Key, err)
+	}
+	if sv.Name != name || sv.Address == "" || sv.Slots < 1 || sv.ConnectionLimit < 1 {
+		return vw, fmt.Errorf("server %s: name, address, slots or connection limit is wrong", name)
+	}
+	if have, ok := vw.Servers.Get(name); ok && have.Address == sv.Address {
+		sv.State = have.State
+	}
+	vw.Servers = vw.Servers.With(name, sv)
+	return vw, nil
+}
+
+func (vw View) applySnapshot(ob Object) (View, error) {
+	name, id, found := strings.Cut(strings.TrimPrefix(ob.Key, PrefixSnapshots), "/")
+	if !found {
+		return vw, fmt.Errorf("snapshot key %s: want %s<collection>/<id>", ob.Key, PrefixSnapshots)
+	}
+	cl, ok := vw.Collections.Get(name)
+	if !ok {
+		cl = &snapshot.Collection{Name: name}
+	}
+	if ob.Deleted {
+		vw.Collections = vw.Collections.With(name, cl.Without(id))
+		return vw, nil
+	}
+	mf := &snapshot.Manifest{}
+	if err := json.Unmarshal([]byte(ob.Value), mf); err != nil {
+		return vw, fmt.Errorf("decode %s: %w", ob.Key, err)
+	}
+	if mf.Collection != name || mf.ID != id {
+		return vw, fmt.Errorf("manifest of %s/%s stands under %s", mf.Collection, mf.ID, ob.Key)
+	}
+	if err := mf.Validate(); err != nil {
+		return vw, fmt.Errorf("apply %s: %w", ob.Key, err)
+	}
+	vw.Collections = vw.Collections.With(name, cl.With(mf))
+	return vw, nil
+}
+
+func (vw View) applyToken(ob Object) (View, error) {
+	if ob.Deleted {
+		vw.Tokens = vw.Tokens.Without(ob.Key)
+		return vw, nil
+	}
+	var tk Token
+	if err := json.Unmarshal([]byte(ob.Value), &tk); err != nil {
+		return vw, fmt.Errorf("decode token: %w", err)
+	}
+	vw.Tokens = vw.Tokens.With(ob.Key, tk)
+	return vw, nil
+}
+
+// Limits returns the limits of a team.
+func (vw *View) Limits(team string) contract.Limits {
+	if st, ok := vw.Settings.Get(contract.LimitsPath(team)); ok && st.Limits != nil {
+		return *st.Limits
+	}
+	return contract.Limits{}.Defaults()
+}
+
+func objectHash(key string, version int64) uint64 {
+	var buffer [8]byte
+	binary.BigEndian.PutUint64(buffer[:], uint64(version))
+	dg := xxhash.New()
+	_, _ = dg.WriteString(key)
+	_, _ = dg.Write(buffer[:])
+	return dg.Sum64()
+}
--- /dev/null
+++ b/internal/world/zone/zone.go
@@ -0,0 +1,40 @@
+// Package zone describes failure domains and the delays between them.
+package zone
+
+import (
+	"sort"
+	"time"
+)
+
+// Zone is one failure domain as seen from a process in it.
+type Zone struct {
+	// Name is not empty.
+	Name string
+	// Delays holds the one-way delay to other zones; a zone that is not
+	// listed counts as farther than all that are.
+	Delays map[string]time.Duration
+}
+
+const unknownDelay = time.Hour
+
+// Delay returns the one-way delay to another zone, zero for the own one.
+func (zn Zone) Delay(to string) time.Duration {
+	if to == zn.Name {
+		return 0
+	}
+	if delay, ok := zn.Delays[to]; ok {
+		return delay
+	}
+	return unknownDelay
+}
+
+// SortNearest orders items by the delay to their zone, then by name.
+func SortNearest[T any](zn Zone, items []T, zoneOf, nameOf func(T) string) {
+	sort.SliceStable(items, func(i, j int) bool {
+		di, dj := zn.Delay(zoneOf(items[i])), zn.Delay(zoneOf(items[j]))
+		if di != dj {
+			return di < dj
+		}
+		return nameOf(items[i]) < nameOf(items[j])
+	})
+}
