--- /dev/null
+++ b/internal/query/request/service.go
@@ -0,0 +1,386 @@
+// Package request answers callers' requests: it checks what they run under,
+// admits, claims, scatters and writes the receipt. It knows nothing of how
+// messages are encoded, so that several front ends can use it.
+package request
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"daisystage.example/daisystage/internal/container/rcu"
+	"daisystage.example/daisystage/internal/container/ring"
+	"daisystage.example/daisystage/internal/query/admit"
+	"daisystage.example/daisystage/internal/query/scatter"
+	"daisystage.example/daisystage/internal/world/contract"
+	"daisystage.example/daisystage/internal/world/machine"
+	"daisystage.example/daisystage/internal/world/snapshot"
+	"daisystage.example/daisystage/internal/world/view"
+)
+
+// Call is one request as a caller sent it.
+type Call struct {
+	ID    uuid.UUID
+	Team  string
+	Route string
+	// Query is JSON.
+	Query []byte
+	// Deadline is the caller's own limit; 0 takes the route's.
+	Deadline time.Duration
+}
+
+// Reply is an answer that is whole, partial or recorded.
+type Reply struct {
+	Outcome  contract.Outcome
+	Snapshot string
+	Setting  contract.SettingRef
+	Coverage contract.Coverage
+	Parts    []scatter.ShardAnswer
+	Receipt  *contract.Receipt
+}
+
+// Claims keeps the claims of requests that are not idempotent.
+type Claims interface {
+	// Claim takes the right to run a request for an attempt. Its error is a
+	// *contract.Refusal that tells what stands in the way.
+	Claim(ctx context.Context, now time.Time, id uuid.UUID, attempt string) error
+	// Settle records the end of an attempt that holds the claim.
+	Settle(ctx context.Context, id uuid.UUID, attempt string, state contract.ClaimState, answer json.RawMessage) error
+	// Look tells what is known of a request without claiming it. Its error is
+	// a *contract.Refusal when the request ran, may have run or can't be read.
+	Look(ctx context.Context, now time.Time, id uuid.UUID) error
+}
+
+// Runner is scatter.Query with its policies chosen.
+type Runner interface {
+	Run(ctx context.Context, rq *scatter.Request) (scatter.Answer, error)
+}
+
+// Observer is told of each finished request.
+type Observer interface {
+	Answered(rc *contract.Receipt, class contract.Class, sends, extra int)
+}
+
+// Service answers requests. All fields but the private ones are set before the
+// first call and not changed.
+type Service struct {
+	// Name and Zone are of the entry VM.
+	Name, Zone   string
+	Views        *rcu.Value[view.View]
+	Confirmation *view.Confirmation
+	Quarantine   *contract.Quarantine
+	Scatter      Runner
+	Claims       Claims
+	Receipts     *ring.Ring[contract.Receipt]
+	// Keep takes the receipts that go to the platform. It does not block.
+	Keep     func(*contract.Receipt)
+	Observer Observer
+
+	gates sync.Map
+	// settling counts the claims whose end is being recorded.
+	settling sync.WaitGroup
+}
+
+// gate is the gate of one collection.
+type gate struct {
+	*admit.Gate
+	end func()
+}
+
+// run is one call on its way.
+type run struct {
+	call    Call
+	setting *contract.Setting
+	view    *view.View
+	receipt *contract.Receipt
+	// attempt is unique for the call.
+	attempt  string
+	deadline time.Time
+	parts    int64
+	print    uint64
+	sends    int
+	extra    int
+}
+
+// Run answers one call. Its error is a *contract.Refusal. The receipt is never
+// nil.
+func (sv *Service) Run(ctx context.Context, now time.Time, cl Call) (*Reply, *contract.Receipt, error) {
+	rn := &run{call: cl, view: sv.Views.Load(), attempt: uuid.NewString()}
+	rn.receipt = &contract.Receipt{
+		RequestID:  cl.ID.String(),
+		EntryVM:    sv.Name,
+		Zone:       sv.Zone,
+		Setting:    contract.SettingRef{Path: contract.RoutePath(cl.Team, cl.Route)},
+		Coverage:   contract.Coverage{Missing: []string{}},
+		ReceivedAt: now,
+	}
+	reply, err := sv.answer(ctx, now, rn)
+	sv.finish(rn, reply, err)
+	return reply, rn.receipt, err
+}
+
+func (sv *Service) answer(ctx context.Context, now time.Time, rn *run) (*Reply, error) {
+	if err := sv.plan(now, rn); err != nil {
+		return nil, err
+	}
+	if rn.setting.Route.Idempotent {
+		return sv.answerIdempotent(ctx, now, rn)
+	}
+	return sv.answerOnce(ctx, now, rn)
+}
+
+// plan finds what the call runs under.
+func (sv *Service) plan(now time.Time, rn *run) error {
+	setting, ok := rn.view.Settings.Get(rn.receipt.Setting.Path)
+	if !ok || setting.Route == nil {
+		if sv.Confirmation.AsOf().IsZero() {
+			return contract.Refuse(contract.NotRun, contract.CodeStarting, "this entry VM has no settings yet")
+		}
+		return contract.Refuse(contract.Invalid, contract.CodeNoRoute, "there is no route %s", rn.receipt.Setting.Path)
+	}
+	rn.setting = setting
+	rn.receipt.Setting.Version, rn.receipt.Setting.Hash = setting.Version, setting.Hash
+	rn.receipt.Collection = setting.Route.Collection
+	limit := setting.Route.Deadline.Duration
+	if rn.call.Deadline > 0 {
+		limit = min(limit, rn.call.Deadline)
+	}
+	rn.deadline = now.Add(limit)
+	rn.print = contract.Fingerprint(setting.Path, rn.call.Query)
+	rn.parts = sv.partsOf(rn)
+	return nil
+}
+
+func (sv *Service) partsOf(rn *run) int64 {
+	if rn.setting.Route.Shards == contract.ScopeOne {
+		return 1
+	}
+	cl, ok := rn.view.Collections.Get(rn.setting.Route.Collection)
+	if !ok || len(cl.Manifests) == 0 {
+		return 1
+	}
+	return int64(len(cl.Manifests[0].Shards))
+}
+
+// permit refuses calls that may not run now.
+func (sv *Service) permit(now time.Time, rn *run) error {
+	if sv.Quarantine.Bars(now, rn.print) {
+		return contract.Refuse(contract.NotRun, contract.CodeQuarantined,
+			"requests with this body were running when several servers were lost")
+	}
+	if sv.Confirmation.IsConfirmed(now) {
+		return nil
+	}
+	since := sv.Confirmation.AsOf()
+	if rn.setting.Route.WhenUnconfirmed == contract.UnconfirmedServeMarked {
+		rn.receipt.UnconfirmedSince = &since
+		return nil
+	}
+	return contract.Refuse(contract.NotRun, contract.CodeIsolated,
+		"this entry VM has had no word from the platform or a peer since %s", since.UTC().Format(time.RFC3339))
+}
+
+func (sv *Service) enter(ctx context.Context, now time.Time, rn *run) (*admit.Ticket, error) {
+	return sv.gateOf(rn.setting.Route.Collection).Enter(ctx, now, admit.Demand{
+		Team:     rn.call.Team,
+		Class:    rn.setting.Route.Class,
+		Limits:   rn.view.Limits(rn.call.Team),
+		Deadline: sv.answerBy(rn),
+		Parts:    rn.parts,
+	})
+}
+
+func (sv *Service) answerBy(rn *run) time.Time {
+	return rn.deadline.Add(-rn.setting.Route.ReplyMargin.Duration)
+}
+
+func (sv *Service) answerIdempotent(ctx context.Context, now time.Time, rn *run) (*Reply, error) {
+	if err := sv.permit(now, rn); err != nil {
+		return nil, err
+	}
+	ticket, err := sv.enter(ctx, now, rn)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { ticket.Leave(time.Now()) }()
+	// The process may have been paused since the call came in.
+	if err := sv.permit(time.Now(), rn); err != nil {
+		return nil, err
+	}
+	an, err := sv.scatter(ctx, rn)
+	if err != nil {
+		return nil, err
+	}
+	if an.Coverage.Answered == 0 && !an.MayHaveRun {
+		return nil, contract.Refuse(contract.NotRun, contract.CodeNoServer, "no server took a part of the request")
+	}
+	if an.Coverage.Answered == 0 {
+		return nil, contract.Refuse(contract.Unknown, contract.CodeNoAnswer, "no shard answered in time")
+	}
+	if an.Coverage.Share() < rn.setting.Route.MinCoverage {
+		return nil, contract.Refuse(contract.Unknown, contract.CodeLowCoverage,
+			"%d of %d shards answered, which is below the route's minimum", an.Coverage.Answered, an.Coverage.Total)
+	}
+	return sv.reply(rn, an), nil
+}
+
+func (sv *Service) reply(rn *run, an scatter.Answer) *Reply {
+	outcome := contract.Whole
+	if an.Coverage.Answered < an.Coverage.Total {
+		outcome = contract.Partial
+	}
+	return &Reply{
+		Outcome:  outcome,
+		Snapshot: an.Manifest.ID,
+		Setting:  rn.receipt.Setting,
+		Coverage: an.Coverage,
+		Parts:    an.Parts,
+		Receipt:  rn.receipt,
+	}
+}
+
+func (sv *Service) scatter(ctx context.Context, rn *run) (scatter.Answer, error) {
+	rq := &scatter.Request{
+		ID:          rn.call.ID.String(),
+		Fingerprint: rn.print,
+		Query:       rn.call.Query,
+		ShardKey:    shardKey(rn),
+		Setting:     rn.setting,
+		View:        rn.view,
+		AnswerBy:    sv.answerBy(rn),
+	}
+	an, err := sv.Scatter.Run(ctx, rq)
+	rn.sends, rn.extra = an.Sends, an.Extra
+	rn.receipt.Restarts = an.Restarts
+	if errors.Is(err, snapshot.ErrNoSnapshot) {
+		outcome := contract.NotRun
+		if an.MayHaveRun {
+			outcome = contract.Unknown
+		}
+		return an, contract.Refuse(outcome, contract.CodeNoSnapshot, "collection %s has no snapshot", rn.setting.Route.Collection)
+	}
+	if err != nil {
+		return an, contract.Refuse(contract.Unknown, contract.CodeNoAnswer, "the request ended with: %v", err)
+	}
+	rn.receipt.Snapshot = an.Manifest.ID
+	rn.receipt.Coverage = an.Coverage
+	rn.receipt.Parts = an.Records
+	return an, nil
+}
+
+// shardKey returns the text that picks the shard of a call.
+func shardKey(rn *run) string {
+	field := rn.setting.Route.ShardKey
+	if field == "" {
+		return rn.call.ID.String()
+	}
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(rn.call.Query, &fields); err != nil {
+		return ""
+	}
+	return string(fields[field])
+}
+
+// finish completes the receipt and hands it on.
+func (sv *Service) finish(rn *run, reply *Reply, err error) {
+	rc := rn.receipt
+	rc.AnsweredAt = time.Now()
+	idempotent, class := true, contract.Ordinary
+	if rn.setting != nil {
+		idempotent, class = rn.setting.Route.Idempotent, rn.setting.Route.Class
+	}
+	if reply != nil {
+		rc.Outcome = reply.Outcome
+	}
+	if rf := (*contract.Refusal)(nil); errors.As(err, &rf) {
+		rc.Outcome, rc.Code, rc.Reason = rf.Outcome, rf.Code, rf.Reason
+	}
+	sv.Receipts.Put(rc)
+	if rn.setting != nil && rc.MustKeep(idempotent) {
+		sv.Keep(rc)
+	}
+	sv.Observer.Answered(rc, class, rn.sends, rn.extra)
+}
+
+func (sv *Service) gateOf(collection string) gate {
+	value, ok := sv.gates.Load(collection)
+	if ok {
+		return value.(gate)
+	}
+	gt, end := admit.New()
+	value, loaded := sv.gates.LoadOrStore(collection, gate{gt, end})
+	if loaded {
+		end()
+	}
+	return value.(gate)
+}
+
+// IsReady reports whether the service has settings, servers and snapshots.
+func (sv *Service) IsReady() bool {
+	vw := sv.Views.Load()
+	return vw.Settings.Len() > 0 && vw.Servers.Len() > 0 && vw.Collections.Len() > 0
+}
+
+// capacityFactor is the number of parts admitted for each that the servers'
+// limits allow at once, so that the servers' queues do not run dry.
+const capacityFactor = 2
+
+// Tend renews the capacity of the gates and the published latencies. It is
+// called several times a second.
+func (sv *Service) Tend(now time.Time) {
+	vw := sv.Views.Load()
+	sv.gates.Range(func(name, value any) bool {
+		value.(gate).SetCapacity(now, capacityOf(now, vw, name.(string)))
+		return true
+	})
+	for _, st := range vw.Settings.All() {
+		if st.State != nil {
+			st.State.Latency.Publish()
+		}
+	}
+}
+
+// Gates returns a summary of each gate by collection.
+func (sv *Service) Gates() map[string]admit.State {
+	states := map[string]admit.State{}
+	sv.gates.Range(func(name, value any) bool {
+		states[name.(string)] = value.(gate).State()
+		return true
+	})
+	return states
+}
+
+// Close waits until the ends of all claims are recorded, and ends the gates.
+// No call may be running.
+func (sv *Service) Close() {
+	sv.settling.Wait()
+	sv.gates.Range(func(_, value any) bool {
+		value.(gate).end()
+		return true
+	})
+}
+
+func capacityOf(now time.Time, vw *view.View, collection string) int64 {
+	cl, ok := vw.Collections.Get(collection)
+	if !ok || len(cl.Manifests) == 0 {
+		return 1
+	}
+	servers := map[string]*machine.Server{}
+	shards := cl.Manifests[0].Shards
+	for _, sh := range shards {
+		for _, name := range sh.Replicas {
+			if sv, ok := vw.Servers.Get(name); ok && !sv.IsLeaving(now) {
+				servers[name] = sv
+			}
+		}
+	}
+	capacity := int64(0)
+	for _, sv := range servers {
+		capacity += sv.State.CurrentLimit() * capacityFactor
+	}
+	return max(capacity, int64(len(shards)))
+}
--- /dev/null
+++ b/internal/query/scatter/gather.go
@@ -0,0 +1,439 @@
+package scatter
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"daisystage.example/daisystage/internal/world/contract"
+	"daisystage.example/daisystage/internal/world/machine"
+	"daisystage.example/daisystage/internal/world/snapshot"
+)
+
+// gather is the state of one request on one snapshot. It is owned by the
+// goroutine that runs it; attempts speak to it through results only.
+type gather[R ReplicaPolicy, H HedgePolicy] struct {
+	query    *Query[R, H]
+	rq       *Request
+	manifest *snapshot.Manifest
+	parts    []partState
+	results  chan result
+	// waiting counts the parts that are neither answered nor given up.
+	waiting int
+	// attempts numbers the sends from 1.
+	attempts   int32
+	primaries  int
+	hedgeAfter time.Duration
+	hedging    bool
+	// vanished is set when all replicas of a shard lost the snapshot.
+	vanished   bool
+	mayHaveRun bool
+	// careful is set while the request is suspected to crash servers.
+	careful bool
+	// candidates is scratch space for the choice of a replica.
+	candidates []*machine.Server
+}
+
+// partState is one shard of a gather.
+type partState struct {
+	shard  *snapshot.Shard
+	record contract.PartRecord
+	body   []byte
+	// open holds the attempts that have no result yet.
+	open []attempt
+	// tried names the servers that an attempt was sent to.
+	tried     []string
+	startedAt time.Time
+	answered  bool
+	// over is set when the part is answered or given up.
+	over bool
+}
+
+type attempt struct {
+	number int32
+	server *machine.Server
+	hedge  bool
+	cancel context.CancelFunc
+}
+
+type result struct {
+	part   int
+	number int32
+	body   []byte
+	took   time.Duration
+	err    error
+}
+
+func newGather[R ReplicaPolicy, H HedgePolicy](qr *Query[R, H], rq *Request, mf *snapshot.Manifest) *gather[R, H] {
+	shards := mf.Shards
+	if rq.Setting.Route.Shards == contract.ScopeOne {
+		at := ShardOf(rq.ShardKey, len(shards))
+		shards = shards[at : at+1]
+	}
+	ga := &gather[R, H]{query: qr, rq: rq, manifest: mf, parts: make([]partState, len(shards)), waiting: len(shards)}
+	most := 0
+	for i := range shards {
+		ga.parts[i].shard = &shards[i]
+		ga.parts[i].record.Shard = shards[i].Name
+		most += len(shards[i].Replicas)
+	}
+	// Each replica is tried once, so that an attempt never blocks on this.
+	ga.results = make(chan result, most)
+	ga.hedgeAfter, ga.hedging = qr.Hedges.After(rq.Setting.Route, rq.Setting.State.Latency.Recent())
+	ga.hedging = ga.hedging && rq.Setting.Route.Idempotent
+	return ga
+}
+
+// run sends all parts and waits for them.
+func (ga *gather[R, H]) run(ctx context.Context) {
+	ctx, cancel := context.WithDeadline(ctx, ga.rq.AnswerBy)
+	defer cancel()
+	now := time.Now()
+	rt := ga.rq.Setting.Route
+	quarantine := ga.query.Quarantine
+	ga.careful = quarantine.Count(now, ga.rq.Fingerprint) > 0
+	if rt.Canary && len(ga.parts) > 1 && !quarantine.IsProven(ga.rq.Fingerprint) {
+		if !ga.runCanary(ctx, now) {
+			return
+		}
+		now = time.Now()
+	}
+	for i := range ga.parts {
+		if !ga.parts[i].over && len(ga.parts[i].open) == 0 {
+			ga.start(ctx, now, i)
+		}
+	}
+	ga.wait(ctx, func() bool { return ga.waiting == 0 })
+}
+
+// runCanary sends one part alone and reports whether the others may follow.
+func (ga *gather[R, H]) runCanary(ctx context.Context, now time.Time) bool {
+	first := &ga.parts[int(ga.rq.Fingerprint%uint64(len(ga.parts)))]
+	ga.start(ctx, now, int(ga.rq.Fingerprint%uint64(len(ga.parts))))
+	ga.wait(ctx, func() bool { return first.over })
+	if ga.vanished || ctx.Err() != nil {
+		return false
+	}
+	if first.answered || ga.query.Quarantine.Count(time.Now(), ga.rq.Fingerprint) == 0 {
+		return true
+	}
+	for i := range ga.parts {
+		if !ga.parts[i].over {
+			ga.giveUp(i, contract.CauseQuarantined)
+		}
+	}
+	return false
+}
+
+// wait takes in results and sends hedges until done or the context ends.
+func (ga *gather[R, H]) wait(ctx context.Context, done func() bool) {
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for !done() && !ga.vanished {
+		if next, ok := ga.nextHedge(); ok {
+			timer.Reset(time.Until(next))
+		}
+		select {
+		case rs := <-ga.results:
+			ga.take(ctx, time.Now(), rs)
+			ga.takeReady(ctx)
+		case <-timer.C:
+			ga.hedge(ctx, time.Now())
+		case <-ctx.Done():
+			ga.stop()
+			return
+		}
+	}
+	if ga.vanished {
+		ga.stop()
+	}
+}
+
+// takeReady takes in the results that wait already, so that the time of the
+// next hedge is computed once for all of them.
+func (ga *gather[R, H]) takeReady(ctx context.Context) {
+	for {
+		select {
+		case rs := <-ga.results:
+			ga.take(ctx, time.Now(), rs)
+		default:
+			return
+		}
+	}
+}
+
+// start sends the first attempt of a part.
+func (ga *gather[R, H]) start(ctx context.Context, now time.Time, at int) {
+	pt := &ga.parts[at]
+	pt.startedAt = now
+	sv := ga.choose(now, pt, "")
+	if sv == nil {
+		ga.giveUp(at, contract.CauseNoReplica)
+		return
+	}
+	ga.primaries++
+	ga.send(ctx, now, at, sv, false)
+}
+
+// choose returns a replica that was not tried, nil if none is left.
+func (ga *gather[R, H]) choose(now time.Time, pt *partState, avoid string) *machine.Server {
+	ga.candidates = ga.candidates[:0]
+	for _, name := range pt.shard.Replicas {
+		if slices.Contains(pt.tried, name) {
+			continue
+		}
+		sv, ok := ga.rq.View.Servers.Get(name)
+		if ok && !sv.IsLeaving(now) {
+			ga.candidates = append(ga.candidates, sv)
+		}
+	}
+	return ga.query.Replicas.Choose(now, ga.query.Zone, ga.candidates, avoid)
+}
+
+func (ga *gather[R, H]) send(ctx context.Context, now time.Time, at int, sv *machine.Server, hedge bool) {
+	pt := &ga.parts[at]
+	ga.attempts++
+	ctx, cancel := context.WithCancel(ctx)
+	pt.open = append(pt.open, attempt{number: ga.attempts, server: sv, hedge: hedge, cancel: cancel})
+	pt.tried = append(pt.tried, sv.Name)
+	pt.record.Attempts++
+	message := Part{
+		RequestID:   ga.rq.ID,
+		Attempt:     ga.attempts,
+		Route:       ga.rq.Setting.Path,
+		Shard:       pt.shard.Name,
+		Snapshot:    ga.manifest.ID,
+		Deadline:    ga.rq.AnswerBy,
+		Idempotent:  ga.rq.Setting.Route.Idempotent,
+		SilentAfter: silentAfter(ga.rq.Setting.State),
+		Query:       ga.rq.Query,
+	}
+	sv.State.InFlight.Add(1)
+	sv.State.Runs.Add(1)
+	go ga.attempt(ctx, now, at, sv, message)
+}
+
+// attempt runs in a goroutine of its own.
+func (ga *gather[R, H]) attempt(ctx context.Context, sentAt time.Time, at int, sv *machine.Server, message Part) {
+	body, err := ga.query.Sender.Send(ctx, sv, message)
+	sv.State.InFlight.Add(-1)
+	now := time.Now()
+	took := now.Sub(sentAt)
+	ga.learn(now, sv, took, err)
+	ga.results <- result{part: at, number: message.Attempt, body: body, took: took, err: err}
+}
+
+// learn takes the end of an attempt into the state of its server.
+func (ga *gather[R, H]) learn(now time.Time, sv *machine.Server, took time.Duration, err error) {
+	if err == nil {
+		sv.State.Succeeded(int64(sv.ConnectionLimit))
+		ga.rq.Setting.State.Latency.Record(took)
+		return
+	}
+	cause, _ := causeOf(err)
+	switch cause {
+	case contract.CauseShed, contract.CauseDeadline:
+		sv.State.Overloaded(now)
+	case contract.CauseDraining:
+		sv.State.MarkLeaving(now)
+	case contract.CauseDialFailed, contract.CauseLinkBroken, contract.CauseMismatched:
+		sv.State.Failed(now)
+	}
+	// A request that was answered before does not crash servers.
+	if cause != contract.CauseLinkBroken || ga.query.Quarantine.IsProven(ga.rq.Fingerprint) {
+		return
+	}
+	if ga.query.Quarantine.Crashed(now, ga.rq.Fingerprint, sv.Name) && ga.query.Crashed != nil {
+		ga.query.Crashed(now, ga.rq.Fingerprint, sv.Name)
+	}
+}
+
+// take takes in one result.
+func (ga *gather[R, H]) take(ctx context.Context, now time.Time, rs result) {
+	pt := &ga.parts[rs.part]
+	at := slices.IndexFunc(pt.open, func(ap attempt) bool { return ap.number == rs.number })
+	ended := pt.open[at]
+	ended.cancel()
+	pt.open = slices.Delete(pt.open, at, at+1)
+	if pt.over {
+		return
+	}
+	if rs.err == nil {
+		ga.mayHaveRun = true
+		ga.accept(now, rs, ended)
+		return
+	}
+	cause, notRun := causeOf(rs.err)
+	ga.mayHaveRun = ga.mayHaveRun || !notRun
+	pt.record.Misses = append(pt.record.Misses, contract.Miss{Server: ended.server.Name, Cause: cause})
+	if len(pt.open) > 0 {
+		return
+	}
+	ga.retry(ctx, now, rs.part, cause, notRun)
+}
+
+// accept takes the first valid answer of a part and cancels its other attempts.
+func (ga *gather[R, H]) accept(now time.Time, rs result, winner attempt) {
+	pt := &ga.parts[rs.part]
+	pt.body = rs.body
+	pt.answered = true
+	pt.over = true
+	pt.record.Server = winner.server.Name
+	pt.record.Took = now.Sub(pt.startedAt)
+	ga.waiting--
+	for _, ap := range pt.open {
+		ap.cancel()
+	}
+	ga.query.Quarantine.Proved(ga.rq.Fingerprint)
+}
+
+// retry sends a part again if that is safe, within the budget and of use.
+func (ga *gather[R, H]) retry(ctx context.Context, now time.Time, at int, cause contract.Cause, notRun bool) {
+	pt := &ga.parts[at]
+	rt := ga.rq.Setting.Route
+	if !rt.Idempotent && !notRun {
+		ga.giveUp(at, cause)
+		return
+	}
+	if cause == contract.CauseLinkBroken && ga.query.Quarantine.Count(now, ga.rq.Fingerprint) > 0 {
+		ga.careful = true
+	}
+	if ga.careful && !notRun {
+		ga.giveUp(at, cause)
+		return
+	}
+	sv := ga.choose(now, pt, "")
+	if sv == nil {
+		ga.vanished = ga.vanished || cause == contract.CauseSnapshotLost && rt.Idempotent
+		ga.giveUp(at, cause)
+		return
+	}
+	if !ga.rq.Setting.State.Retries.TrySpend() {
+		ga.giveUp(at, cause)
+		return
+	}
+	ga.send(ctx, now, at, sv, false)
+}
+
+func (ga *gather[R, H]) giveUp(at int, cause contract.Cause) {
+	pt := &ga.parts[at]
+	pt.over = true
+	pt.record.Cause = cause
+	ga.waiting--
+}
+
+// nextHedge returns the earliest time at which a part is due for a hedge.
+func (ga *gather[R, H]) nextHedge() (time.Time, bool) {
+	if !ga.hedging || ga.careful {
+		return time.Time{}, false
+	}
+	var earliest time.Time
+	found := false
+	for i := range ga.parts {
+		pt := &ga.parts[i]
+		if !pt.mayHedge() {
+			continue
+		}
+		if !found || pt.startedAt.Before(earliest) {
+			earliest, found = pt.startedAt, true
+		}
+	}
+	return earliest.Add(ga.hedgeAfter), found
+}
+
+func (pt *partState) mayHedge() bool {
+	return !pt.over && len(pt.open) == 1 && pt.record.Hedges == 0
+}
+
+// hedge sends a second attempt for each part that is due, while the budget
+// lasts.
+func (ga *gather[R, H]) hedge(ctx context.Context, now time.Time) {
+	for i := range ga.parts {
+		pt := &ga.parts[i]
+		if !pt.mayHedge() || now.Before(pt.startedAt.Add(ga.hedgeAfter)) {
+			continue
+		}
+		sv := ga.choose(now, pt, pt.open[0].server.Zone)
+		if sv == nil || !sv.HasRoom() {
+			// Full replicas are overload, not a straggler.
+			pt.record.Hedges = -1
+			continue
+		}
+		if !ga.rq.Setting.State.Hedges.TrySpend() {
+			ga.hedging = false
+			return
+		}
+		pt.record.Hedges = 1
+		ga.send(ctx, now, i, sv, true)
+	}
+}
+
+// stop gives up all parts that wait.
+func (ga *gather[R, H]) stop() {
+	for i := range ga.parts {
+		pt := &ga.parts[i]
+		if pt.over {
+			continue
+		}
+		for _, ap := range pt.open {
+			pt.record.Misses = append(pt.record.Misses, contract.Miss{Server: ap.server.Name, Cause: contract.CauseDeadline})
+			ap.cancel()
+		}
+		if len(pt.open) > 0 && !ga.provedNotRun(len(pt.open)) {
+			ga.mayHaveRun = true
+		}
+		ga.giveUp(i, contract.CauseDeadline)
+	}
+}
+
+// provedNotRun waits for the end of the canceled attempts of a request that is
+// not idempotent and reports whether it is proved that none of them ran.
+func (ga *gather[R, H]) provedNotRun(open int) bool {
+	if ga.rq.Setting.Route.Idempotent {
+		return false
+	}
+	timer := time.NewTimer(ga.rq.Setting.Route.ReplyMargin.Duration)
+	defer timer.Stop()
+	for ; open > 0; open-- {
+		select {
+		case rs := <-ga.results:
+			if rs.err == nil {
+				return false
+			}
+			if _, notRun := causeOf(rs.err); !notRun {
+				return false
+			}
+		case <-timer.C:
+			return false
+		}
+	}
+	return true
+}
+
+// answer sums up the gather. It is called once, after run.
+func (ga *gather[R, H]) answer() Answer {
+	rt := ga.rq.Setting.Route
+	ga.rq.Setting.State.Hedges.Earn(ga.primaries, rt.HedgeShare)
+	ga.rq.Setting.State.Retries.Earn(ga.primaries, rt.RetryShare)
+	an := Answer{
+		Manifest:   ga.manifest,
+		Coverage:   contract.Coverage{Total: len(ga.parts), Missing: []string{}},
+		Records:    make([]contract.PartRecord, len(ga.parts)),
+		Parts:      make([]ShardAnswer, 0, len(ga.parts)),
+		MayHaveRun: ga.mayHaveRun,
+		Sends:      ga.primaries,
+		Extra:      int(ga.attempts) - ga.primaries,
+	}
+	for i := range ga.parts {
+		pt := &ga.parts[i]
+		pt.record.Hedges = max(pt.record.Hedges, 0)
+		an.Records[i] = pt.record
+		if !pt.answered {
+			an.Coverage.Missing = append(an.Coverage.Missing, pt.shard.Name)
+			continue
+		}
+		an.Coverage.Answered++
+		an.Parts = append(an.Parts, ShardAnswer{Shard: pt.shard.Name, Body: pt.body})
+	}
+	return an
+}
