--- /dev/null
+++ b/internal/node/entryvm/state.go
@@ -0,0 +1,169 @@
+package entryvm
+
+import (
+	"maps"
+	"slices"
+	"strconv"
+	"time"
+
+	"daisystage.example/daisystage/internal/peer/backend"
+	"daisystage.example/daisystage/internal/query/admit"
+	"daisystage.example/daisystage/internal/world/contract"
+	"daisystage.example/daisystage/internal/world/link"
+	"daisystage.example/daisystage/internal/world/machine"
+)
+
+const (
+	// dumpedServers, dumpedRoutes and dumpedReceipts bound the dump.
+	dumpedServers  = 2000
+	dumpedRoutes   = 2000
+	dumpedReceipts = 100
+)
+
+// State is the dump of a process.
+type State struct {
+	At        time.Time `json:"at"`
+	Name      string    `json:"name"`
+	Zone      string    `json:"zone"`
+	Phase     string    `json:"phase"`
+	StartedAt time.Time `json:"started_at"`
+	View      ViewState `json:"view"`
+	// EntryVMs holds this one too.
+	EntryVMs    []machine.EntryVM           `json:"entry_vms"`
+	Servers     []ServerState               `json:"servers"`
+	Routes      []RouteState                `json:"routes"`
+	Gates       map[string]admit.State      `json:"gates"`
+	Quarantines map[string]contract.Crashes `json:"quarantines"`
+	Receipts    ReceiptsState               `json:"receipts"`
+	Platform    PlatformState               `json:"platform"`
+	// Mismatched counts answers that did not belong to their part.
+	Mismatched int64 `json:"answers_mismatched"`
+}
+
+// ViewState tells which settings are in force.
+type ViewState struct {
+	Version   int64     `json:"version"`
+	Digest    string    `json:"digest"`
+	Confirmed bool      `json:"confirmed"`
+	AsOf      time.Time `json:"as_of"`
+	Objects   int       `json:"objects"`
+	Settings  int       `json:"settings"`
+	Servers   int       `json:"servers"`
+	// Snapshots holds the ids by collection, newest first.
+	Snapshots map[string][]string `json:"snapshots"`
+}
+
+// ServerState is what the process knows of one server.
+type ServerState struct {
+	machine.Server
+	InFlight int64              `json:"in_flight"`
+	Limit    int64              `json:"limit"`
+	Leaves   bool               `json:"leaves"`
+	Suspect  bool               `json:"suspect"`
+	Runs     int64              `json:"runs"`
+	Links    *backend.PoolState `json:"links,omitempty"`
+}
+
+// RouteState is what the process knows of one route.
+type RouteState struct {
+	Path    string         `json:"path"`
+	Version int64          `json:"version"`
+	Hash    string         `json:"hash"`
+	Hedges  float64        `json:"hedge_tokens"`
+	Retries float64        `json:"retry_tokens"`
+	Latency link.Quantiles `json:"latency"`
+}
+
+// ReceiptsState counts receipts, with the newest of them.
+type ReceiptsState struct {
+	Waiting int                 `json:"waiting"`
+	Written int64               `json:"written"`
+	Dropped int64               `json:"dropped"`
+	Recent  []*contract.Receipt `json:"recent"`
+}
+
+// PlatformState counts platform calls.
+type PlatformState struct {
+	Down     bool  `json:"down"`
+	Reads    int64 `json:"reads"`
+	Writes   int64 `json:"writes"`
+	Failures int64 `json:"failures"`
+}
+
+// State returns the dump. It reads one published view and takes no lock that
+// requests wait for.
+func (ps *Process) State(now time.Time) State {
+	vw := ps.Views.Load()
+	st := State{
+		At: now, Name: ps.Config.Name, Zone: ps.Config.Zone, Phase: ps.phase.Load().(string), StartedAt: ps.startedAt,
+		View: ViewState{
+			Version: vw.Version, Digest: strconv.FormatUint(vw.Digest, 16),
+			Confirmed: ps.Confirmation.IsConfirmed(now), AsOf: ps.Confirmation.AsOf(),
+			Objects: vw.Objects.Len(), Settings: vw.Settings.Len(), Servers: vw.Servers.Len(),
+			Snapshots: map[string][]string{},
+		},
+		EntryVMs:    ps.Cluster.Members(now),
+		Gates:       ps.Service.Gates(),
+		Quarantines: map[string]contract.Crashes{},
+		Receipts: ReceiptsState{
+			Waiting: ps.Receipts.Waiting(), Written: ps.Receipts.Written.Load(), Dropped: ps.Receipts.Dropped.Load(),
+			Recent: ps.ring.Recent(dumpedReceipts),
+		},
+		Platform: PlatformState{
+			Down: ps.Platform.IsDown(), Reads: ps.Platform.Reads.Load(),
+			Writes: ps.Platform.Writes.Load(), Failures: ps.Platform.Failures.Load(),
+		},
+		Mismatched: ps.Backend.Mismatched.Load(),
+	}
+	for print, cs := range ps.Quarantine.Current() {
+		st.Quarantines[strconv.FormatUint(print, 16)] = cs
+	}
+	for name, cl := range vw.Collections.All() {
+		for _, mf := range cl.Manifests {
+			st.View.Snapshots[name] = append(st.View.Snapshots[name], mf.ID)
+		}
+	}
+	st.Servers = ps.serverStates(now)
+	st.Routes = ps.routeStates()
+	return st
+}
+
+func (ps *Process) serverStates(now time.Time) []ServerState {
+	pools := ps.Backend.Pools()
+	byName := maps.Collect(ps.Views.Load().Servers.All())
+	states := []ServerState{}
+	for _, name := range slices.Sorted(maps.Keys(byName)) {
+		if len(states) == dumpedServers {
+			break
+		}
+		sv := byName[name]
+		row := ServerState{
+			Server: *sv, InFlight: sv.State.InFlight.Load(), Limit: sv.State.CurrentLimit(),
+			Leaves: sv.IsLeaving(now), Suspect: sv.State.Suspect(now), Runs: sv.State.Runs.Load(),
+		}
+		if pl, ok := pools[sv.Address]; ok {
+			row.Links = &pl
+		}
+		states = append(states, row)
+	}
+	return states
+}
+
+func (ps *Process) routeStates() []RouteState {
+	byPath := maps.Collect(ps.Views.Load().Settings.All())
+	states := []RouteState{}
+	for _, path := range slices.Sorted(maps.Keys(byPath)) {
+		st := byPath[path]
+		if st.Route == nil {
+			continue
+		}
+		if len(states) == dumpedRoutes {
+			break
+		}
+		states = append(states, RouteState{
+			Path: path, Version: st.Version, Hash: st.Hash,
+			Hedges: st.State.Hedges.Tokens(), Retries: st.State.Retries.Tokens(), Latency: st.State.Latency.Recent(),
+		})
+	}
+	return states
+}
--- /dev/null
+++ b/internal/node/entryvm/upkeep.go
@@ -0,0 +1,149 @@
+package entryvm
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"daisystage.example/daisystage/internal/node/events"
+	"daisystage.example/daisystage/internal/node/metrics"
+	"daisystage.example/daisystage/internal/peer/platform"
+	"daisystage.example/daisystage/internal/world/contract"
+	"daisystage.example/daisystage/internal/world/machine"
+)
+
+// tend does the upkeep that needs no outside word, several times a second.
+func (ps *Process) tend(ctx context.Context) {
+	ticker := time.NewTicker(tendEvery)
+	defer ticker.Stop()
+	last := time.Now()
+	confirmed := false
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		now := time.Now()
+		if now.Sub(last) > pausedAfter {
+			events.Paused.Log(ps.Log, zap.Duration("for", now.Sub(last)))
+		}
+		last = now
+		ps.Service.Tend(now)
+		ps.Backend.SetEntryVMs(ps.liveEntryVMs(now))
+		ps.Backend.Forget(ps.knowsAddress())
+		ps.Metrics.Gauges(ps.gauges(now))
+		confirmed = ps.logConfirmation(now, confirmed)
+	}
+}
+
+func (ps *Process) logConfirmation(now time.Time, before bool) bool {
+	confirmed := ps.Confirmation.IsConfirmed(now)
+	if confirmed && !before {
+		events.Confirmed.Log(ps.Log, zap.Int64("version", ps.Views.Load().Version))
+	}
+	if !confirmed && before {
+		events.Isolated.Log(ps.Log, zap.Time("since", ps.Confirmation.AsOf()))
+	}
+	return confirmed
+}
+
+// liveEntryVMs counts the entry VMs that may hold connections to servers.
+func (ps *Process) liveEntryVMs(now time.Time) int {
+	count := 0
+	for _, vm := range ps.Cluster.Members(now) {
+		if vm.IsLive(now) {
+			count++
+		}
+	}
+	return count
+}
+
+func (ps *Process) knowsAddress() func(address string) bool {
+	addresses := map[string]bool{}
+	for _, sv := range ps.Views.Load().Servers.All() {
+		addresses[sv.Address] = true
+	}
+	return func(address string) bool { return addresses[address] }
+}
+
+func (ps *Process) knownServers() []*machine.Server {
+	vw := ps.Views.Load()
+	servers := make([]*machine.Server, 0, vw.Servers.Len())
+	for _, sv := range vw.Servers.All() {
+		servers = append(servers, sv)
+	}
+	return servers
+}
+
+// takeVMs takes the VM list in. It lags, so it only ever adds leaving marks.
+func (ps *Process) takeVMs(now time.Time, vms []platform.VM) {
+	vw := ps.Views.Load()
+	for _, vm := range vms {
+		if sv, ok := vw.Servers.Get(vm.Name); ok && vm.Leaving {
+			sv.State.MarkLeaving(now)
+		}
+	}
+}
+
+func (ps *Process) sweep(ctx context.Context) {
+	ticker := time.NewTicker(sweepEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		swept, err := platform.Sweep(ctx, time.Now(), ps.Platform)
+		if swept > 0 || err != nil {
+			events.ClaimsSwept.Log(ps.Log, zap.Int("count", swept), zap.Error(err))
+		}
+	}
+}
+
+func (ps *Process) gauges(now time.Time) map[string]float64 {
+	condemned := int64(0)
+	open := int64(0)
+	for _, pl := range ps.Backend.Pools() {
+		condemned += pl.Condemned
+		open += pl.Open
+	}
+	return map[string]float64{
+		"platform_reads":       float64(ps.Platform.Reads.Load()),
+		"platform_writes":      float64(ps.Platform.Writes.Load()),
+		"platform_failures":    float64(ps.Platform.Failures.Load()),
+		"settings_age_seconds": now.Sub(ps.Confirmation.AsOf()).Seconds(),
+		"view_version":         float64(ps.Views.Load().Version),
+		"links_open":           float64(open),
+		"links_condemned":      float64(condemned),
+		"answers_mismatched":   float64(ps.Backend.Mismatched.Load()),
+		"receipts_waiting":     float64(ps.Receipts.Waiting()),
+		"receipts_dropped":     float64(ps.Receipts.Dropped.Load()),
+		"entry_vms_live":       float64(ps.liveEntryVMs(now)),
+	}
+}
+
+// observer counts and logs finished requests.
+type observer struct {
+	metrics *metrics.Metrics
+	log     *zap.Logger
+}
+
+// Answered is of request.Observer.
+func (ob *observer) Answered(rc *contract.Receipt, class contract.Class, sends, extra int) {
+	ob.metrics.Answered(rc, class, sends, extra)
+	ev := events.AnswerRefused
+	switch rc.Outcome {
+	case contract.Whole, contract.AlreadyRun:
+		return
+	case contract.Partial:
+		ev = events.AnswerPartial
+	case contract.Unknown:
+		ev = events.AnswerUnknown
+	}
+	ev.Log(ob.log, zap.String("request_id", rc.RequestID), zap.String("path", rc.Setting.Path),
+		zap.String("outcome", string(rc.Outcome)), zap.String("code", string(rc.Code)), zap.String("reason", rc.Reason),
+		zap.Int("answered", rc.Coverage.Answered), zap.Int("total", rc.Coverage.Total))
+}
--- /dev/null
+++ b/internal/node/events/events.go
@@ -0,0 +1,69 @@
+// Package events lists all log events. Each has a number that stays the same
+// for good; docs/EVENTS.md says what each means and what to do.
+package events
+
+import (
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// Event is one kind of log line.
+type Event struct {
+	Number int
+	Name   string
+	Level  zapcore.Level
+}
+
+// Log writes the event with its fields.
+func (ev Event) Log(log *zap.Logger, fields ...zap.Field) {
+	if entry := log.Check(ev.Level, ev.Name); entry != nil {
+		entry.Write(append(fields, zap.Int("event", ev.Number))...)
+	}
+}
+
+// The events. Numbers from 100 are of the process, 200 of the platform, 300 of
+// peers, 400 of servers, 500 of requests, 600 of settings.
+var (
+	Started  = Event{101, "started", zapcore.InfoLevel}
+	Leaving  = Event{102, "leaving", zapcore.InfoLevel}
+	Draining = Event{103, "draining", zapcore.InfoLevel}
+	Stopped  = Event{104, "stopped", zapcore.InfoLevel}
+	Paused   = Event{105, "paused", zapcore.WarnLevel}
+
+	WatchFailed     = Event{201, "watch_failed", zapcore.WarnLevel}
+	OlderObject     = Event{202, "older_object_refused", zapcore.WarnLevel}
+	BadObject       = Event{203, "bad_object_refused", zapcore.ErrorLevel}
+	StaleStore      = Event{204, "stale_store", zapcore.WarnLevel}
+	ReceiptsDropped = Event{205, "receipts_dropped", zapcore.ErrorLevel}
+	ReceiptsFailed  = Event{206, "receipts_write_failed", zapcore.WarnLevel}
+	ClaimsSwept     = Event{207, "claims_swept", zapcore.InfoLevel}
+
+	PeerFailed  = Event{301, "peer_failed", zapcore.WarnLevel}
+	PeerJoined  = Event{302, "peer_joined", zapcore.InfoLevel}
+	PeerSilent  = Event{303, "peer_silent", zapcore.WarnLevel}
+	Isolated    = Event{304, "isolated", zapcore.ErrorLevel}
+	Confirmed   = Event{305, "confirmed", zapcore.InfoLevel}
+	PeerPulled  = Event{306, "pulled_from_peer", zapcore.InfoLevel}
+	ServerGone  = Event{401, "server_leaving", zapcore.InfoLevel}
+	ServerLost  = Event{402, "server_lost_to_request", zapcore.ErrorLevel}
+	Quarantined = Event{403, "request_quarantined", zapcore.ErrorLevel}
+
+	AnswerPartial = Event{501, "answer_partial", zapcore.WarnLevel}
+	AnswerRefused = Event{502, "answer_refused", zapcore.WarnLevel}
+	AnswerUnknown = Event{503, "answer_unknown", zapcore.ErrorLevel}
+
+	SettingAccepted = Event{601, "setting_accepted", zapcore.InfoLevel}
+	SettingRefused  = Event{602, "setting_refused", zapcore.WarnLevel}
+)
+
+// All returns all events in the order of their numbers.
+func All() []Event {
+	return []Event{
+		Started, Leaving, Draining, Stopped, Paused,
+		WatchFailed, OlderObject, BadObject, StaleStore, ReceiptsDropped, ReceiptsFailed, ClaimsSwept,
+		PeerFailed, PeerJoined, PeerSilent, Isolated, Confirmed, PeerPulled,
+		ServerGone, ServerLost, Quarantined,
+		AnswerPartial, AnswerRefused, AnswerUnknown,
+		SettingAccepted, SettingRefused,
+	}
+}
--- /dev/null
+++ b/internal/peer/backend/client.go
@@ -0,0 +1,324 @@
+// Package backend speaks to backend servers: it keeps the links to them within
+// their connection limits, sends parts, checks that each answer belongs to its
+// part, and finds links that went silent.
+package backend
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-faster/jx"
+
+	"daisystage.example/daisystage/internal/query/scatter"
+	"daisystage.example/daisystage/internal/wire/backendapi"
+	"daisystage.example/daisystage/internal/world/contract"
+	"daisystage.example/daisystage/internal/world/machine"
+)
+
+const (
+	// spareVMs is the room in each server's connection limit that is kept for
+	// entry VMs that replace others.
+	spareVMs = 1
+	// pollEvery is the time between two readings of a server's load.
+	pollEvery = time.Second
+	// pollTimeout bounds one reading.
+	pollTimeout = 500 * time.Millisecond
+)
+
+// errSilent is the cause of a request that was cut off on a silent link.
+var errSilent = errors.New("no byte came on the link while a new connection answered")
+
+// Client sends parts to servers. Make one with New.
+type Client struct {
+	dial DialFunc
+	// entryVMs is the number of entry VMs that share the servers.
+	entryVMs atomic.Int64
+	// pools maps name and address of a server to its *pool.
+	pools sync.Map
+	// Mismatched counts answers that did not belong to their part.
+	Mismatched atomic.Int64
+}
+
+// New returns a client and a function that closes its links.
+func New(dial DialFunc) (*Client, func()) {
+	cl := &Client{dial: dial}
+	cl.entryVMs.Store(1)
+	return cl, cl.close
+}
+
+func (cl *Client) close() {
+	cl.pools.Range(func(_, value any) bool {
+		value.(*pool).close()
+		return true
+	})
+}
+
+// SetEntryVMs sets the number of entry VMs among which the servers' connection
+// limits are shared out.
+func (cl *Client) SetEntryVMs(count int) {
+	cl.entryVMs.Store(int64(max(count, 1)))
+	cl.pools.Range(func(_, value any) bool {
+		pl := value.(*pool)
+		pl.share.Store(cl.shareOf(pl.server))
+		return true
+	})
+}
+
+func (cl *Client) shareOf(sv *machine.Server) int64 {
+	return int64(sv.ConnectionShare(int(cl.entryVMs.Load()), spareVMs))
+}
+
+func (cl *Client) pool(sv *machine.Server) *pool {
+	if value, ok := cl.pools.Load(sv.Address); ok {
+		return value.(*pool)
+	}
+	fresh := newPool(cl.dial, sv)
+	fresh.share.Store(cl.shareOf(sv))
+	value, _ := cl.pools.LoadOrStore(sv.Address, fresh)
+	return value.(*pool)
+}
+
+// Send carries one part to a server. It is of scatter.Sender.
+func (cl *Client) Send(ctx context.Context, sv *machine.Server, pt scatter.Part) ([]byte, error) {
+	pl := cl.pool(sv)
+	cn, err := pl.take(ctx)
+	if err != nil {
+		return nil, err
+	}
+	now := time.Now()
+	if !now.Before(pt.Deadline) {
+		pl.give(now, cn)
+		return nil, &contract.PartError{Cause: contract.CauseDeadline, NotRun: true}
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	if pt.Idempotent {
+		timer := time.AfterFunc(pt.SilentAfter, func() { cl.checkSilent(ctx, pl, cn, now, pt.SilentAfter, cancel) })
+		defer timer.Stop()
+	}
+	before := cn.Written.Load()
+	answer, err := cn.client.RunPart(ctx, encodePart(now, pt))
+	if err != nil {
+		return nil, cl.failed(ctx, pl, cn, cn.Written.Load() > before, err)
+	}
+	if answer.Draining {
+		sv.State.MarkLeaving(time.Now())
+	}
+	if err := checkAnswer(pt, answer); err != nil {
+		cl.Mismatched.Add(1)
+		pl.discard(cn)
+		return nil, &contract.PartError{Cause: contract.CauseMismatched, Err: err}
+	}
+	pl.give(time.Now(), cn)
+	return answer.Body, nil
+}
+
+func encodePart(now time.Time, pt scatter.Part) *backendapi.Part {
+	return &backendapi.Part{
+		RequestID:  pt.RequestID,
+		Attempt:    pt.Attempt,
+		Route:      pt.Route,
+		Shard:      pt.Shard,
+		Snapshot:   pt.Snapshot,
+		DeadlineMs: max(pt.Deadline.Sub(now).Milliseconds(), 1),
+		Query:      jx.Raw(pt.Query),
+	}
+}
+
+// checkAnswer says how an answer does not belong to its part.
+func checkAnswer(pt scatter.Part, an *backendapi.PartAnswer) error {
+	switch {
+	case an.RequestID != pt.RequestID:
+		return fmt.Errorf("answer is of request %s", an.RequestID)
+	case an.Attempt != pt.Attempt:
+		return fmt.Errorf("answer is of attempt %d", an.Attempt)
+	case an.Shard != pt.Shard:
+		return fmt.Errorf("answer is of shard %s", an.Shard)
+	case an.Snapshot != pt.Snapshot:
+		return fmt.Errorf("answer is of snapshot %s", an.Snapshot)
+	case an.Length != len(an.Body):
+		return fmt.Errorf("answer has %d bytes of %d", len(an.Body), an.Length)
+	case an.Digest != Digest(an.Body):
+		return errors.New("answer does not match its digest")
+	}
+	return nil
+}
+
+// Digest returns the digest of an answer's body as servers write it: xxhash64
+// in lower-case hexadecimal.
+func Digest(body []byte) string {
+	return strconv.FormatUint(xxhash.Sum64(body), 16)
+}
+
+// failed turns the error of a request into a *contract.PartError and gives its
+// link back or closes it.
+func (cl *Client) failed(ctx context.Context, pl *pool, cn *conn, written bool, err error) error {
+	if refused := (*backendapi.RefusedStatusCode)(nil); errors.As(err, &refused) {
+		pl.give(time.Now(), cn)
+		return refusal(refused)
+	}
+	pl.discard(cn)
+	return &contract.PartError{Cause: causeOf(ctx), NotRun: !written, Err: err}
+}
+
+func causeOf(ctx context.Context) contract.Cause {
+	switch cause := context.Cause(ctx); {
+	case cause == nil:
+		return contract.CauseLinkBroken
+	case errors.Is(cause, errSilent):
+		return contract.CauseLinkSilent
+	case errors.Is(cause, context.DeadlineExceeded):
+		return contract.CauseDeadline
+	default:
+		return contract.CauseCanceled
+	}
+}
+
+func refusal(refused *backendapi.RefusedStatusCode) error {
+	said := refused.Response
+	cause := contract.CauseServerError
+	switch said.Code {
+	case backendapi.RefusalCodeShed, backendapi.RefusalCodeCold:
+		cause = contract.CauseShed
+	case backendapi.RefusalCodeDraining:
+		cause = contract.CauseDraining
+	case backendapi.RefusalCodeSnapshotLost:
+		cause = contract.CauseSnapshotLost
+	case backendapi.RefusalCodeDeadlinePassed:
+		cause = contract.CauseDeadline
+	}
+	return &contract.PartError{Cause: cause, NotRun: said.NotRun, Err: errors.New(said.Reason)}
+}
+
+// checkSilent cuts a request off when its link is silent while the server
+// answers, or does not answer either, on another one.
+func (cl *Client) checkSilent(ctx context.Context, pl *pool, cn *conn, sentAt time.Time, limit time.Duration, cut context.CancelCauseFunc) {
+	if ctx.Err() != nil || cn.LastRead.Load() > sentAt.UnixNano() {
+		return
+	}
+	startedAt := time.Now()
+	if pl.isCondemned(cn) {
+		cut(errSilent)
+		return
+	}
+	if !pl.tryOpen(pl.share.Load()) {
+		// No place for a probe: after a second wait the link makes room.
+		cl.cutAfter(ctx, cn, sentAt, limit, cut)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	fresh, err := pl.connect(ctx)
+	if err != nil {
+		cut(errSilent)
+		return
+	}
+	if _, err := fresh.client.GetHealth(ctx); err != nil {
+		pl.discard(fresh)
+		cut(errSilent)
+		return
+	}
+	if cn.LastRead.Load() <= sentAt.UnixNano() {
+		pl.condemn(startedAt)
+		cut(errSilent)
+	}
+	pl.give(time.Now(), fresh)
+}
+
+func (cl *Client) cutAfter(ctx context.Context, cn *conn, sentAt time.Time, limit time.Duration, cut context.CancelCauseFunc) {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+		return
+	}
+	if cn.LastRead.Load() <= sentAt.UnixNano() {
+		cut(errSilent)
+	}
+}
+
+// Poll reads load and health of servers until the context ends. servers
+// returns those in the current view.
+func (cl *Client) Poll(ctx context.Context, servers func() []*machine.Server) {
+	ticker := time.NewTicker(pollEvery)
+	defer ticker.Stop()
+	for {
+		var polls sync.WaitGroup
+		for _, sv := range servers() {
+			polls.Go(func() { cl.pollServer(ctx, sv) })
+		}
+		polls.Wait()
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (cl *Client) pollServer(ctx context.Context, sv *machine.Server) {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	pl := cl.pool(sv)
+	pl.trim(time.Now())
+	cn, err := pl.take(ctx)
+	if err != nil {
+		return
+	}
+	ld, err := cn.client.GetLoad(ctx)
+	if err != nil {
+		pl.discard(cn)
+		return
+	}
+	now := time.Now()
+	sv.State.ReportedLoad.Store(int64(ld.InFlight + ld.Queued))
+	sv.State.ReportedAt.Store(now.UnixNano())
+	health, err := cn.client.GetHealth(ctx)
+	if err != nil {
+		pl.discard(cn)
+		return
+	}
+	if health.State == backendapi.HealthStateDraining {
+		sv.State.MarkLeaving(time.Now())
+	}
+	pl.give(time.Now(), cn)
+}
+
+// PoolState is a summary of the links to one server.
+type PoolState struct {
+	Open      int64 `json:"open"`
+	Share     int64 `json:"share"`
+	Idle      int   `json:"idle"`
+	Condemned int64 `json:"condemned"`
+}
+
+// Pools returns a summary of the links by the servers' addresses.
+func (cl *Client) Pools() map[string]PoolState {
+	states := map[string]PoolState{}
+	cl.pools.Range(func(name, value any) bool {
+		pl := value.(*pool)
+		states[name.(string)] = PoolState{
+			Open: pl.open.Load(), Share: pl.share.Load(), Idle: len(pl.idle), Condemned: pl.condemned.Load(),
+		}
+		return true
+	})
+	return states
+}
+
+// Forget closes the links to servers that are no longer known by address.
+func (cl *Client) Forget(known func(address string) bool) {
+	cl.pools.Range(func(name, value any) bool {
+		if !known(name.(string)) {
+			cl.pools.Delete(name)
+			value.(*pool).close()
+		}
+		return true
+	})
+}
--- /dev/null
+++ b/internal/peer/backend/pool.go
@@ -0,0 +1,266 @@
+package backend
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"daisystage.example/daisystage/internal/wire/backendapi"
+	"daisystage.example/daisystage/internal/world/contract"
+	"daisystage.example/daisystage/internal/world/link"
+	"daisystage.example/daisystage/internal/world/machine"
+)
+
+const (
+	// dialTimeout bounds the making of one connection.
+	dialTimeout = 500 * time.Millisecond
+	// dialsAtOnce paces the connections made to one server.
+	dialsAtOnce = 2
+	// probeReserve is the number of connections of a share that is kept for
+	// probes, if the share has room for it.
+	probeReserve = 1
+	smallShare   = 3
+)
+
+// DialFunc makes a connection to an address.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// conn is one link to a server, used by one request at a time.
+type conn struct {
+	link.Link
+	raw       net.Conn
+	transport *http.Transport
+	client    *backendapi.Client
+}
+
+// countingConn keeps the state of its link.
+type countingConn struct {
+	net.Conn
+	link *link.Link
+}
+
+// Read is of net.Conn.
+func (cc *countingConn) Read(buffer []byte) (int, error) {
+	count, err := cc.Conn.Read(buffer)
+	if count > 0 {
+		cc.link.LastRead.Store(time.Now().UnixNano())
+	}
+	return count, err
+}
+
+// Write is of net.Conn.
+func (cc *countingConn) Write(buffer []byte) (int, error) {
+	cc.link.LastWrite.Store(time.Now().UnixNano())
+	cc.link.Written.Add(int64(len(buffer)))
+	return cc.Conn.Write(buffer)
+}
+
+func (cn *conn) close() {
+	_ = cn.raw.Close()
+	cn.transport.CloseIdleConnections()
+}
+
+// pool holds the links to one server. Its methods take no lock; those that
+// wait do so on a channel.
+type pool struct {
+	dial   DialFunc
+	server *machine.Server
+	// idle holds unused links; a nil one tells a waiter that there is room
+	// for another link.
+	idle chan *conn
+	// open counts the links that are open or being made. It is at most share.
+	open atomic.Int64
+	// share is the most links that this process may have.
+	share atomic.Int64
+	// condemnedBefore is the time before which opened links are not used, in
+	// Unix nanoseconds.
+	condemnedBefore atomic.Int64
+	condemned       atomic.Int64
+	dialing         chan struct{}
+}
+
+func newPool(dial DialFunc, sv *machine.Server) *pool {
+	return &pool{
+		dial:    dial,
+		server:  sv,
+		idle:    make(chan *conn, 2*sv.ConnectionLimit),
+		dialing: make(chan struct{}, dialsAtOnce),
+	}
+}
+
+// take returns a link for one request. Its error says that nothing was sent.
+func (pl *pool) take(ctx context.Context) (*conn, error) {
+	for {
+		if cn := pl.takeIdle(time.Now()); cn != nil {
+			return cn, nil
+		}
+		if pl.tryOpen(pl.trafficShare()) {
+			return pl.connect(ctx)
+		}
+		select {
+		case cn := <-pl.idle:
+			if cn != nil && pl.usable(time.Now(), cn) {
+				return cn, nil
+			}
+		case <-ctx.Done():
+			return nil, &contract.PartError{Cause: contract.CauseNoLink, NotRun: true, Err: context.Cause(ctx)}
+		}
+	}
+}
+
+func (pl *pool) trafficShare() int64 {
+	share := pl.share.Load()
+	if share >= smallShare {
+		share -= probeReserve
+	}
+	return share
+}
+
+// takeIdle returns an unused link if there is one.
+func (pl *pool) takeIdle(now time.Time) *conn {
+	for {
+		select {
+		case cn := <-pl.idle:
+			if cn != nil && pl.usable(now, cn) {
+				return cn
+			}
+		default:
+			return nil
+		}
+	}
+}
+
+// usable closes links that are condemned, too long unused or too many.
+func (pl *pool) usable(now time.Time, cn *conn) bool {
+	if !pl.isCondemned(cn) && !cn.Expired(now) && pl.open.Load() <= pl.share.Load() {
+		return true
+	}
+	pl.discard(cn)
+	return false
+}
+
+func (pl *pool) isCondemned(cn *conn) bool {
+	return cn.OpenedAt.UnixNano() < pl.condemnedBefore.Load()
+}
+
+// tryOpen takes one of limit places for a link.
+func (pl *pool) tryOpen(limit int64) bool {
+	for {
+		open := pl.open.Load()
+		if open >= limit {
+			return false
+		}
+		if pl.open.CompareAndSwap(open, open+1) {
+			return true
+		}
+	}
+}
+
+// connect makes a link in a place taken with tryOpen.
+func (pl *pool) connect(ctx context.Context) (*conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	select {
+	case pl.dialing <- struct{}{}:
+	case <-ctx.Done():
+		pl.free()
+		return nil, &contract.PartError{Cause: contract.CauseNoLink, NotRun: true, Err: context.Cause(ctx)}
+	}
+	raw, err := pl.dial(ctx, "tcp", pl.server.Address)
+	<-pl.dialing
+	if err != nil {
+		pl.free()
+		return nil, &contract.PartError{Cause: contract.CauseDialFailed, NotRun: true, Err: err}
+	}
+	return newConn(time.Now(), raw, pl.server.Address)
+}
+
+func newConn(now time.Time, raw net.Conn, address string) (*conn, error) {
+	cn := &conn{}
+	cn.OpenedAt = now
+	cn.raw = &countingConn{Conn: raw, link: &cn.Link}
+	var used atomic.Bool
+	cn.transport = &http.Transport{
+		// A link is one connection: when it breaks, the pool makes the next.
+		DialContext: func(context.Context, string, string) (net.Conn, error) {
+			if used.Swap(true) {
+				return nil, net.ErrClosed
+			}
+			return cn.raw, nil
+		},
+		MaxIdleConnsPerHost: 1,
+		DisableCompression:  true,
+	}
+	client, err := backendapi.NewClient("http://"+address, backendapi.WithClient(&http.Client{Transport: cn.transport}))
+	if err != nil {
+		_ = raw.Close()
+		return nil, &contract.PartError{Cause: contract.CauseDialFailed, NotRun: true, Err: err}
+	}
+	cn.client = client
+	return cn, nil
+}
+
+// give returns a link after a request that was answered.
+func (pl *pool) give(now time.Time, cn *conn) {
+	if !pl.usable(now, cn) {
+		return
+	}
+	select {
+	case pl.idle <- cn:
+	default:
+		pl.discard(cn)
+	}
+}
+
+// discard closes a link.
+func (pl *pool) discard(cn *conn) {
+	cn.close()
+	pl.free()
+}
+
+// free gives up the place of a link and tells a waiter.
+func (pl *pool) free() {
+	pl.open.Add(-1)
+	select {
+	case pl.idle <- nil:
+	default:
+	}
+}
+
+// condemn keeps all links that were opened before a time from being used.
+func (pl *pool) condemn(openedBefore time.Time) {
+	if pl.condemnedBefore.Swap(openedBefore.UnixNano()) < openedBefore.UnixNano() {
+		pl.condemned.Add(1)
+	}
+}
+
+// trim closes unused links that are expired or above the share.
+func (pl *pool) trim(now time.Time) {
+	for range len(pl.idle) {
+		select {
+		case cn := <-pl.idle:
+			if cn != nil {
+				pl.give(now, cn)
+			}
+		default:
+			return
+		}
+	}
+}
+
+// close ends all unused links; those in use end when they are given back.
+func (pl *pool) close() {
+	pl.share.Store(0)
+	for {
+		select {
+		case cn := <-pl.idle:
+			if cn != nil {
+				cn.close()
+			}
+		default:
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/peer/caller/client.go
@@ -0,0 +1,174 @@
+package caller
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-faster/jx"
+	"github.com/google/uuid"
+
+	"daisystage.example/daisystage/internal/wire/callerapi"
+	"daisystage.example/daisystage/internal/world/contract"
+)
+
+// entriesTimeout bounds the question for the entries.
+const entriesTimeout = 2 * time.Second
+
+// Client is a caller: it asks any known address for the entries, keeps the
+// answer as long as it may, and sends its requests to one of them. Make one
+// with NewClient.
+type Client struct {
+	http *http.Client
+	zone string
+	// seeds are asked when no entry is known.
+	seeds []string
+
+	lock sync.Mutex
+	// entries is what was last answered, to be kept until keepUntil.
+	entries   []callerapi.Entry
+	keepUntil time.Time
+}
+
+// NewClient returns a caller in a zone that knows some caller addresses.
+func NewClient(hc *http.Client, zone string, seeds []string) *Client {
+	return &Client{http: hc, zone: zone, seeds: seeds}
+}
+
+// Result is what a caller was told.
+type Result struct {
+	// Answer is nil if the request was refused.
+	Answer *callerapi.Answer
+	// Refusal is nil if there is an answer.
+	Refusal *callerapi.Refusal
+	// Entry is the address that said it.
+	Entry string
+	// Took is from the first send to the end.
+	Took time.Duration
+}
+
+// Outcome returns the outcome in either case.
+func (rs Result) Outcome() contract.Outcome {
+	if rs.Answer != nil {
+		return contract.Outcome(rs.Answer.Outcome)
+	}
+	if rs.Refusal != nil {
+		return contract.Outcome(rs.Refusal.Outcome)
+	}
+	return contract.Unknown
+}
+
+func (cl *Client) connect(address string) (*callerapi.Client, error) {
+	ac, err := callerapi.NewClient("http://"+address, callerapi.WithClient(cl.http))
+	if err != nil {
+		return nil, fmt.Errorf("caller address %s: %w", address, err)
+	}
+	return ac, nil
+}
+
+// Entries returns the entries to use, from an entry VM if those at hand are
+// too old.
+func (cl *Client) Entries(ctx context.Context, now time.Time) ([]callerapi.Entry, error) {
+	cl.lock.Lock()
+	known, fresh := cl.entries, now.Before(cl.keepUntil)
+	cl.lock.Unlock()
+	if fresh && len(known) > 0 {
+		return known, nil
+	}
+	addresses := append([]string(nil), cl.seeds...)
+	for _, en := range known {
+		addresses = append(addresses, en.Address)
+	}
+	lastErr := errors.New("no address of an entry VM is known")
+	for _, at := range rand.Perm(len(addresses)) {
+		list, err := cl.ask(ctx, addresses[at])
+		if err != nil {
+			lastErr = err
+			continue
+		}
+		cl.lock.Lock()
+		cl.entries = list.Entries
+		cl.keepUntil = now.Add(time.Duration(list.KeepForMs) * time.Millisecond)
+		cl.lock.Unlock()
+		return list.Entries, nil
+	}
+	return nil, fmt.Errorf("find the entries: %w", lastErr)
+}
+
+func (cl *Client) ask(ctx context.Context, address string) (*callerapi.Entries, error) {
+	ac, err := cl.connect(address)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, entriesTimeout)
+	defer cancel()
+	list, err := ac.ListEntries(ctx, callerapi.ListEntriesParams{Zone: callerapi.NewOptString(cl.zone)})
+	if err != nil {
+		return nil, fmt.Errorf("ask %s: %w", address, err)
+	}
+	if len(list.Entries) == 0 {
+		return nil, fmt.Errorf("%s knows no entry that is ready", address)
+	}
+	return list, nil
+}
+
+// Query sends one request to the nearest entry, and to others while none of
+// them takes it. The same id may be sent again at any time.
+func (cl *Client) Query(ctx context.Context, team, route string, id uuid.UUID, query []byte, deadline time.Duration) (Result, error) {
+	startedAt := time.Now()
+	entries, err := cl.Entries(ctx, startedAt)
+	if err != nil {
+		return Result{}, err
+	}
+	rq := &callerapi.QueryRequest{RequestID: id, Query: jx.Raw(query)}
+	if deadline > 0 {
+		rq.DeadlineMs = callerapi.NewOptInt64(deadline.Milliseconds())
+	}
+	var last Result
+	var lastErr error
+	for _, en := range entries {
+		last, lastErr = cl.send(ctx, en.Address, team, route, rq)
+		last.Took = time.Since(startedAt)
+		if lastErr == nil && !triesNext(last) {
+			return last, nil
+		}
+	}
+	cl.forget()
+	return last, lastErr
+}
+
+// triesNext reports whether another entry VM may take a request that this one
+// refused.
+func triesNext(rs Result) bool {
+	if rs.Refusal == nil {
+		return false
+	}
+	code := contract.Code(rs.Refusal.Code)
+	return code == contract.CodeIsolated || code == contract.CodeStarting
+}
+
+// forget makes the next request ask for the entries again.
+func (cl *Client) forget() {
+	cl.lock.Lock()
+	defer cl.lock.Unlock()
+	cl.keepUntil = time.Time{}
+}
+
+func (cl *Client) send(ctx context.Context, address, team, route string, rq *callerapi.QueryRequest) (Result, error) {
+	ac, err := cl.connect(address)
+	if err != nil {
+		return Result{}, err
+	}
+	an, err := ac.RunQuery(ctx, rq, callerapi.RunQueryParams{Team: team, Route: route})
+	if rd := (*callerapi.RefusedStatusCode)(nil); errors.As(err, &rd) {
+		return Result{Refusal: &rd.Response, Entry: address}, nil
+	}
+	if err != nil {
+		return Result{Entry: address}, fmt.Errorf("query through %s: %w", address, err)
+	}
+	return Result{Answer: an, Entry: address}, nil
+}
--- /dev/null
+++ b/internal/peer/platform/receipts.go
@@ -0,0 +1,159 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+
+	"daisystage.example/daisystage/internal/node/events"
+	"daisystage.example/daisystage/internal/world/contract"
+	"daisystage.example/daisystage/internal/world/view"
+)
+
+const (
+	// PrefixReceipts is the prefix of the receipts in the platform.
+	PrefixReceipts = "receipts/"
+	// receiptsQueue bounds the receipts that wait for the platform.
+	receiptsQueue = 4096
+	// receiptsEvery is the time between two writes.
+	receiptsEvery = time.Second
+	// receiptsBatch is the most receipts of one object, and receiptsBytes the
+	// most bytes.
+	receiptsBatch = 500
+	receiptsBytes = 512 << 10
+)
+
+// Receipts writes receipts to the platform in batches, each an object
+// receipts/<hour>/<entry VM>/<batch id>. Make one with NewReceipts.
+type Receipts struct {
+	store Store
+	name  string
+	log   *zap.Logger
+	queue chan *contract.Receipt
+	// Dropped counts the receipts lost because the queue was full.
+	Dropped atomic.Int64
+	// Written counts the receipts in the platform.
+	Written atomic.Int64
+}
+
+// NewReceipts returns the receipts of an entry VM.
+func NewReceipts(store Store, entryVM string, log *zap.Logger) *Receipts {
+	return &Receipts{store: store, name: entryVM, log: log, queue: make(chan *contract.Receipt, receiptsQueue)}
+}
+
+// Keep queues a receipt. It does not block.
+func (rs *Receipts) Keep(rc *contract.Receipt) {
+	select {
+	case rs.queue <- rc:
+	default:
+		if rs.Dropped.Add(1) == 1 {
+			events.ReceiptsDropped.Log(rs.log, zap.String("request_id", rc.RequestID))
+		}
+	}
+}
+
+// Waiting returns the number of receipts that wait for the platform.
+func (rs *Receipts) Waiting() int {
+	return len(rs.queue)
+}
+
+// Run writes until the context ends; Flush writes the rest.
+func (rs *Receipts) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, jitter(receiptsEvery))
+		rs.Flush(ctx)
+	}
+}
+
+// Flush writes all receipts that wait. On a failure the rest stays queued.
+func (rs *Receipts) Flush(ctx context.Context) {
+	for len(rs.queue) > 0 {
+		batch := rs.takeBatch()
+		if err := rs.write(ctx, time.Now(), batch); err != nil {
+			events.ReceiptsFailed.Log(rs.log, zap.Int("count", len(batch)), zap.Error(err))
+			for _, rc := range batch {
+				rs.Keep(rc)
+			}
+			return
+		}
+		rs.Written.Add(int64(len(batch)))
+	}
+}
+
+func (rs *Receipts) takeBatch() []*contract.Receipt {
+	var batch []*contract.Receipt
+	for len(batch) < receiptsBatch {
+		select {
+		case rc := <-rs.queue:
+			batch = append(batch, rc)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+func (rs *Receipts) write(ctx context.Context, now time.Time, batch []*contract.Receipt) error {
+	text, err := json.Marshal(batch)
+	if err != nil {
+		return fmt.Errorf("encode receipts: %w", err)
+	}
+	if len(text) > receiptsBytes && len(batch) > 1 {
+		half := len(batch) / 2
+		if err := rs.write(ctx, now, batch[:half]); err != nil {
+			return err
+		}
+		return rs.write(ctx, now, batch[half:])
+	}
+	key := fmt.Sprintf("%s%s/%s/%s", PrefixReceipts, now.UTC().Format("2006010215"), rs.name, uuid.Must(uuid.NewV7()))
+	if _, err := rs.store.Put(ctx, key, string(text), 0); err != nil {
+		return fmt.Errorf("write receipts: %w", err)
+	}
+	return nil
+}
+
+// FindReceipts returns the receipts of a request that were kept around the
+// time that its id names.
+func FindReceipts(ctx context.Context, now time.Time, store Store, id uuid.UUID) ([]contract.Receipt, error) {
+	var found []contract.Receipt
+	for _, hour := range hoursOf(now, id) {
+		objects, _, err := store.List(ctx, PrefixReceipts+hour+"/")
+		if err != nil {
+			return nil, fmt.Errorf("find receipts: %w", err)
+		}
+		found = append(found, receiptsOf(objects, id.String())...)
+	}
+	return found, nil
+}
+
+func hoursOf(now time.Time, id uuid.UUID) []string {
+	made := now
+	if id.Version() == 7 {
+		made = time.Unix(id.Time().UnixTime())
+	}
+	return []string{
+		made.UTC().Format("2006010215"),
+		made.Add(time.Hour).UTC().Format("2006010215"),
+	}
+}
+
+func receiptsOf(objects []view.Object, id string) []contract.Receipt {
+	var found []contract.Receipt
+	for _, ob := range objects {
+		var batch []contract.Receipt
+		if json.Unmarshal([]byte(ob.Value), &batch) != nil {
+			continue
+		}
+		for _, rc := range batch {
+			if rc.RequestID == id {
+				found = append(found, rc)
+			}
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/internal/peer/platform/store.go
@@ -0,0 +1,235 @@
+// Package platform speaks to the platform's object API and VM list: it watches
+// what makes up the view, writes settings, claims requests and keeps receipts.
+package platform
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"daisystage.example/daisystage/internal/wire/platformapi"
+	"daisystage.example/daisystage/internal/world/view"
+)
+
+// The errors of a Store. All others leave open whether a write took effect.
+var (
+	ErrNotFound  = errors.New("no such object")
+	ErrConflict  = errors.New("object has another version")
+	ErrTooLarge  = errors.New("value is too large")
+	ErrCompacted = errors.New("changes since that version are gone")
+	// ErrBudget says that the call was not made, to stay within the rate.
+	ErrBudget = errors.New("platform call budget is used up")
+)
+
+// VM is one line of the VM list.
+type VM struct {
+	Name    string
+	Leaving bool
+}
+
+// Store is the platform's object API.
+type Store interface {
+	Get(ctx context.Context, key string) (view.Object, error)
+	// Put writes a value if the object has the version, 0 for none, and
+	// returns the new version.
+	Put(ctx context.Context, key, value string, ifVersion int64) (int64, error)
+	Delete(ctx context.Context, key string, ifVersion int64) error
+	// List returns the objects under a prefix and the version they are as of.
+	List(ctx context.Context, prefix string) ([]view.Object, int64, error)
+	// Watch waits for changes under a prefix after a version and returns them
+	// with the version to go on from.
+	Watch(ctx context.Context, prefix string, from int64, wait time.Duration) ([]view.Object, int64, error)
+	VMs(ctx context.Context) ([]VM, error)
+}
+
+// Budget is the rate of platform calls of one process.
+type Budget struct {
+	// ReadsPerSecond and WritesPerSecond are positive.
+	ReadsPerSecond, WritesPerSecond float64
+}
+
+const (
+	// burstTime is the time whose calls may be made at once.
+	burstTime = 2
+	// callTimeout bounds a call that does not wait.
+	callTimeout = 2 * time.Second
+	// watchSlack is added to the wait of a watch before it counts as lost.
+	watchSlack = 2 * time.Second
+)
+
+// Client is a Store over HTTP. Make one with New.
+type Client struct {
+	clients []*platformapi.Client
+	// current is the index of the client that answered last.
+	current atomic.Int64
+	reads   *rate.Limiter
+	writes  *rate.Limiter
+	// Reads, Writes and Failures count the calls made.
+	Reads, Writes, Failures atomic.Int64
+	// failing is when the last call failed without an answer, answered when
+	// the last one was answered, in Unix nanoseconds.
+	failing, answered atomic.Int64
+}
+
+// New returns a client of the platform's addresses.
+func New(addresses []string, hc *http.Client, bg Budget) (*Client, error) {
+	cl := &Client{
+		reads:  rate.NewLimiter(rate.Limit(bg.ReadsPerSecond), int(bg.ReadsPerSecond*burstTime)+1),
+		writes: rate.NewLimiter(rate.Limit(bg.WritesPerSecond), int(bg.WritesPerSecond*burstTime)+1),
+	}
+	for _, address := range addresses {
+		ac, err := platformapi.NewClient("http://"+address, platformapi.WithClient(hc))
+		if err != nil {
+			return nil, fmt.Errorf("platform address %s: %w", address, err)
+		}
+		cl.clients = append(cl.clients, ac)
+	}
+	if len(cl.clients) == 0 {
+		return nil, errors.New("no platform address")
+	}
+	return cl, nil
+}
+
+// IsDown reports whether the newest call got no answer.
+func (cl *Client) IsDown() bool {
+	return cl.failing.Load() > cl.answered.Load()
+}
+
+// call makes one call and moves to the next address when there is no answer.
+func call[R any](ctx context.Context, cl *Client, limiter *rate.Limiter, timeout time.Duration, do func(context.Context, *platformapi.Client) (R, error)) (R, error) {
+	var none R
+	if err := limiter.Wait(ctx); err != nil {
+		return none, fmt.Errorf("%w: %w", ErrBudget, err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	at := cl.current.Load()
+	rs, err := do(ctx, cl.clients[at%int64(len(cl.clients))])
+	if err == nil {
+		cl.answered.Store(time.Now().UnixNano())
+		return rs, nil
+	}
+	if known := knownError(err); known != nil {
+		cl.answered.Store(time.Now().UnixNano())
+		return none, known
+	}
+	if !errors.Is(err, context.Canceled) {
+		cl.Failures.Add(1)
+		cl.failing.Store(time.Now().UnixNano())
+		cl.current.CompareAndSwap(at, at+1)
+	}
+	return none, fmt.Errorf("call platform: %w", err)
+}
+
+// knownError returns the error that the platform answered with, nil if the
+// fate of the call is open.
+func knownError(err error) error {
+	failed := (*platformapi.FailedStatusCode)(nil)
+	if !errors.As(err, &failed) {
+		return nil
+	}
+	switch failed.Response.Code {
+	case platformapi.FailureCodeNotFound:
+		return ErrNotFound
+	case platformapi.FailureCodeConflict:
+		return ErrConflict
+	case platformapi.FailureCodeTooLarge:
+		return ErrTooLarge
+	case platformapi.FailureCodeCompacted:
+		return ErrCompacted
+	}
+	return nil
+}
+
+// Get is of Store.
+func (cl *Client) Get(ctx context.Context, key string) (view.Object, error) {
+	cl.Reads.Add(1)
+	ob, err := call(ctx, cl, cl.reads, callTimeout, func(ctx context.Context, ac *platformapi.Client) (*platformapi.Object, error) {
+		return ac.GetObject(ctx, platformapi.GetObjectParams{Key: key})
+	})
+	if err != nil {
+		return view.Object{}, fmt.Errorf("get %s: %w", key, err)
+	}
+	return objectOf(*ob), nil
+}
+
+// Put is of Store.
+func (cl *Client) Put(ctx context.Context, key, value string, ifVersion int64) (int64, error) {
+	cl.Writes.Add(1)
+	stamp, err := call(ctx, cl, cl.writes, callTimeout, func(ctx context.Context, ac *platformapi.Client) (*platformapi.Stamp, error) {
+		return ac.PutObject(ctx, &platformapi.Value{Value: value}, platformapi.PutObjectParams{Key: key, IfVersion: ifVersion})
+	})
+	if err != nil {
+		return 0, fmt.Errorf("put %s: %w", key, err)
+	}
+	return stamp.Version, nil
+}
+
+// Delete is of Store.
+func (cl *Client) Delete(ctx context.Context, key string, ifVersion int64) error {
+	cl.Writes.Add(1)
+	_, err := call(ctx, cl, cl.writes, callTimeout, func(ctx context.Context, ac *platformapi.Client) (*platformapi.Stamp, error) {
+		return ac.DeleteObject(ctx, platformapi.DeleteObjectParams{Key: key, IfVersion: ifVersion})
+	})
+	if err != nil {
+		return fmt.Errorf("delete %s: %w", key, err)
+	}
+	return nil
+}
+
+// List is of Store.
+func (cl *Client) List(ctx context.Context, prefix string) ([]view.Object, int64, error) {
+	cl.Reads.Add(1)
+	ls, err := call(ctx, cl, cl.reads, callTimeout, func(ctx context.Context, ac *platformapi.Client) (*platformapi.Listing, error) {
+		return ac.ListObjects(ctx, platformapi.ListObjectsParams{Prefix: prefix})
+	})
+	if err != nil {
+		return nil, 0, fmt.Errorf("list %s: %w", prefix, err)
+	}
+	return objectsOf(ls.Objects), ls.Version, nil
+}
+
+// Watch is of Store.
+func (cl *Client) Watch(ctx context.Context, prefix string, from int64, wait time.Duration) ([]view.Object, int64, error) {
+	cl.Reads.Add(1)
+	ch, err := call(ctx, cl, cl.reads, wait+watchSlack, func(ctx context.Context, ac *platformapi.Client) (*platformapi.Changes, error) {
+		return ac.WatchObjects(ctx, platformapi.WatchObjectsParams{Prefix: prefix, From: from, WaitMs: wait.Milliseconds()})
+	})
+	if err != nil {
+		return nil, 0, fmt.Errorf("watch %s: %w", prefix, err)
+	}
+	return objectsOf(ch.Objects), ch.Next, nil
+}
+
+// VMs is of Store.
+func (cl *Client) VMs(ctx context.Context) ([]VM, error) {
+	cl.Reads.Add(1)
+	listed, err := call(ctx, cl, cl.reads, callTimeout, func(ctx context.Context, ac *platformapi.Client) ([]platformapi.VM, error) {
+		return ac.ListVMs(ctx)
+	})
+	if err != nil {
+		return nil, fmt.Errorf("list VMs: %w", err)
+	}
+	vms := make([]VM, len(listed))
+	for i, vm := range listed {
+		vms[i] = VM{Name: vm.Name, Leaving: vm.State == platformapi.VMStateLeaving}
+	}
+	return vms, nil
+}
+
+func objectsOf(listed []platformapi.Object) []view.Object {
+	objects := make([]view.Object, len(listed))
+	for i, ob := range listed {
+		objects[i] = objectOf(ob)
+	}
+	return objects
+}
+
+func objectOf(ob platformapi.Object) view.Object {
+	return view.Object{Key: ob.Key, Version: ob.Version, Value: ob.Value, Deleted: ob.Deleted.Value}
+}
--- /dev/null
+++ b/internal/peer/platform/watcher.go
@@ -0,0 +1,179 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"daisystage.example/daisystage/internal/container/rcu"
+	"daisystage.example/daisystage/internal/node/events"
+	"daisystage.example/daisystage/internal/world/view"
+)
+
+const (
+	// watchWait is how long a watch waits for a change. It is well below
+	// view.ConfirmedFor, since each answer confirms the view.
+	watchWait = time.Second
+	// firstBackoff and longestBackoff bound the wait after a failed call.
+	firstBackoff   = 100 * time.Millisecond
+	longestBackoff = 5 * time.Second
+	// vmListEvery is the time between two readings of the VM list.
+	vmListEvery = 2 * time.Second
+)
+
+// Watcher keeps a view up to date with the platform.
+type Watcher struct {
+	Store        Store
+	Views        *rcu.Value[view.View]
+	Confirmation *view.Confirmation
+	Log          *zap.Logger
+
+	lock sync.Mutex
+	// heard is when the newest answered call for each prefix was made.
+	heard map[string]time.Time
+}
+
+// Apply takes objects into the published view and logs those that it refuses.
+func Apply(views *rcu.Value[view.View], log *zap.Logger, objects []view.Object) {
+	if len(objects) == 0 {
+		return
+	}
+	views.Update(func(vw view.View) view.View {
+		for _, ob := range objects {
+			next, err := vw.Apply(ob)
+			if err != nil {
+				logRefused(log, ob, err)
+			}
+			vw = next
+		}
+		return vw
+	})
+}
+
+func logRefused(log *zap.Logger, ob view.Object, err error) {
+	if errors.Is(err, view.ErrOlder) {
+		events.OlderObject.Log(log, zap.String("key", ob.Key), zap.Int64("version", ob.Version), zap.Error(err))
+		return
+	}
+	events.BadObject.Log(log, zap.String("key", ob.Key), zap.Int64("version", ob.Version), zap.Error(err))
+}
+
+// Run watches all prefixes of the view until the context ends.
+func (wt *Watcher) Run(ctx context.Context) {
+	wt.heard = map[string]time.Time{}
+	var watches sync.WaitGroup
+	for _, prefix := range view.Prefixes() {
+		watches.Go(func() { wt.runPrefix(ctx, prefix) })
+	}
+	watches.Wait()
+}
+
+func (wt *Watcher) runPrefix(ctx context.Context, prefix string) {
+	from := int64(-1)
+	backoff := firstBackoff
+	for ctx.Err() == nil {
+		next, err := wt.step(ctx, prefix, from)
+		if err == nil {
+			from, backoff = next, firstBackoff
+			continue
+		}
+		if errors.Is(err, ErrCompacted) {
+			from = -1
+		}
+		if ctx.Err() == nil {
+			events.WatchFailed.Log(wt.Log, zap.String("prefix", prefix), zap.Error(err))
+		}
+		sleep(ctx, jitter(backoff))
+		backoff = min(backoff*2, longestBackoff)
+	}
+}
+
+// step lists the prefix if from is negative, else it watches once.
+func (wt *Watcher) step(ctx context.Context, prefix string, from int64) (int64, error) {
+	startedAt := time.Now()
+	if from < 0 {
+		objects, version, err := wt.Store.List(ctx, prefix)
+		if err != nil {
+			return 0, err
+		}
+		Apply(wt.Views, wt.Log, append(objects, wt.absent(prefix, objects, version)...))
+		wt.confirm(prefix, startedAt)
+		return version, nil
+	}
+	objects, next, err := wt.Store.Watch(ctx, prefix, from, watchWait)
+	if err != nil {
+		return 0, err
+	}
+	if next < from {
+		events.StaleStore.Log(wt.Log, zap.String("prefix", prefix), zap.Int64("version", next), zap.Int64("known", from))
+		return from, nil
+	}
+	Apply(wt.Views, wt.Log, objects)
+	wt.confirm(prefix, startedAt)
+	return next, nil
+}
+
+// absent returns deletions for objects of the view that a list lacks.
+func (wt *Watcher) absent(prefix string, listed []view.Object, version int64) []view.Object {
+	present := make(map[string]bool, len(listed))
+	for _, ob := range listed {
+		present[ob.Key] = true
+	}
+	var gone []view.Object
+	for key, ob := range wt.Views.Load().Objects.All() {
+		if !strings.HasPrefix(key, prefix) || present[key] || ob.Deleted || ob.Version >= version {
+			continue
+		}
+		gone = append(gone, view.Object{Key: key, Version: version, Deleted: true})
+	}
+	return gone
+}
+
+// confirm records that the prefix is as of a time; the view is as of the
+// oldest of its prefixes.
+func (wt *Watcher) confirm(prefix string, asOf time.Time) {
+	wt.lock.Lock()
+	defer wt.lock.Unlock()
+	wt.heard[prefix] = asOf
+	oldest := asOf
+	for _, name := range view.Prefixes() {
+		at, ok := wt.heard[name]
+		if !ok {
+			return
+		}
+		if at.Before(oldest) {
+			oldest = at
+		}
+	}
+	wt.Confirmation.Heard(oldest)
+}
+
+// WatchVMs reads the VM list until the context ends and hands it to take.
+func WatchVMs(ctx context.Context, store Store, take func(now time.Time, vms []VM)) {
+	for ctx.Err() == nil {
+		vms, err := store.VMs(ctx)
+		if err == nil {
+			take(time.Now(), vms)
+		}
+		sleep(ctx, jitter(vmListEvery))
+	}
+}
+
+// jitter returns a random duration around the given one.
+func jitter(about time.Duration) time.Duration {
+	return about/2 + rand.N(about)
+}
+
+func sleep(ctx context.Context, duration time.Duration) {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
