--- /dev/null
+++ b/cmd/daisystage/check.go
@@ -0,0 +1,72 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"daisystage.example/daisystage/internal/node/entryvm"
+	"daisystage.example/daisystage/internal/world/contract"
+)
+
+const usageCheck = `Check an entry.toml, or the text of a setting, without using it.
+
+The error names the file, the line, the key and the accepted range.
+
+Examples:
+  daisystage check --config entry.toml
+  daisystage check --path teams/gaisma/routes/find --file find.toml`
+
+func addCheck(app *kingpin.Application, tl tool) {
+	cmd := app.Command("check", usageCheck)
+	config := cmd.Flag("config", "The entry.toml to check.").String()
+	path := cmd.Flag("path", "Path of the setting to check.").String()
+	file := cmd.Flag("file", "Text of the setting, - for standard input.").String()
+	cmd.Action(action(func() error { return check(*config, *path, *file, tl) }))
+}
+
+func check(config, path, file string, tl tool) error {
+	if config == "" && path == "" {
+		return usageError{errors.New("check needs --config, or --path and --file")}
+	}
+	if config != "" {
+		if _, err := entryvm.ReadConfig(config); err != nil {
+			return usageError{err}
+		}
+		fmt.Fprintf(tl.out, "%s is correct\n", config)
+	}
+	if path == "" {
+		return nil
+	}
+	body, err := readFile(file, tl)
+	if err != nil {
+		return usageError{err}
+	}
+	if err := contract.CheckBody(path, body); err != nil {
+		return usageError{err}
+	}
+	fmt.Fprintf(tl.out, "%s is correct\n", path)
+	return nil
+}
+
+// readFile reads a file, or standard input for "-".
+func readFile(path string, tl tool) (string, error) {
+	if path == "-" {
+		body, err := io.ReadAll(tl.in)
+		if err != nil {
+			return "", fmt.Errorf("read standard input: %w", err)
+		}
+		return string(body), nil
+	}
+	if path == "" {
+		return "", errors.New("--file is needed")
+	}
+	body, err := os.ReadFile(path)
+	if err != nil {
+		return "", fmt.Errorf("read setting: %w", err)
+	}
+	return string(body), nil
+}
--- /dev/null
+++ b/cmd/daisystage/serve.go
@@ -0,0 +1,65 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"daisystage.example/daisystage/internal/node/entryvm"
+)
+
+const usageServe = `Run the process of an entry VM until SIGTERM or SIGINT.
+
+The stop takes keep_for, stop_margin and drain_for of the config, and cuts no
+request; a second signal does not shorten it.
+
+Example: daisystage serve --config entry.toml`
+
+func addServe(app *kingpin.Application, tl tool) {
+	cmd := app.Command("serve", usageServe)
+	config := cmd.Flag("config", "The entry.toml to run with.").Required().String()
+	cmd.Action(action(func() error { return serve(*config, tl) }))
+}
+
+func serve(path string, tl tool) error {
+	cg, err := entryvm.ReadConfig(path)
+	if err != nil {
+		return usageError{err}
+	}
+	log, err := newLogger(cg, tl)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = log.Sync() }()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	ps, end, err := entryvm.Start(time.Now(), cg, entryvm.TCP(), log)
+	if err != nil {
+		return err
+	}
+	defer end()
+	<-signals
+	ps.Stop()
+	return nil
+}
+
+func newLogger(cg entryvm.Config, tl tool) (*zap.Logger, error) {
+	level, err := zapcore.ParseLevel(cg.LogLevel)
+	if err != nil {
+		return nil, fmt.Errorf("log_level: %w", err)
+	}
+	encoding := zap.NewProductionEncoderConfig()
+	encoding.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	encoding.MessageKey, encoding.TimeKey = "name", "at"
+	encoder := zapcore.NewJSONEncoder(encoding)
+	if cg.LogFormat == "console" {
+		encoder = zapcore.NewConsoleEncoder(encoding)
+	}
+	return zap.New(zapcore.NewCore(encoder, zapcore.Lock(zapcore.AddSync(tl.err)), level)), nil
+}
--- /dev/null
+++ b/cmd/standin/server.go
@@ -0,0 +1,46 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"daisystage.example/daisystage/internal/standin/server"
+)
+
+const usageServer = `Run a backend server that holds every shard of every snapshot.
+
+Control address: PUT /faults {"straggle":20}, PUT /freeze, GET /runs,
+GET /connections. The faults are listed in internal/standin/server.
+
+Example: standin server --name s1 --address 127.0.0.1:8100 --control 127.0.0.1:8101`
+
+func addServer(app *kingpin.Application) {
+	cmd := app.Command("server", usageServer)
+	settings := server.Settings{}.Defaults()
+	cmd.Flag("name", "Name of the server.").Required().StringVar(&settings.Name)
+	cmd.Flag("address", "Address of the server.").Required().StringVar(&settings.Address)
+	cmd.Flag("slots", "Parts that run at once.").Default("2").IntVar(&settings.Slots)
+	cmd.Flag("connections", "Most connections.").Default("25").IntVar(&settings.ConnectionLimit)
+	cmd.Flag("connect-cost", "Time of a new connection.").Default("6ms").DurationVar(&settings.ConnectCost)
+	cmd.Flag("work", "Usual time of a part.").Default("4ms").DurationVar(&settings.Work)
+	cmd.Flag("cold", "Time after the start in which parts are slow.").Default("0s").DurationVar(&settings.Cold)
+	control := cmd.Flag("control", "Address for switching faults.").Required().String()
+	cmd.Action(func(*kingpin.ParseContext) error {
+		sr := server.New(time.Now(), settings)
+		sr.Crash = func() { os.Exit(1) }
+		routes, err := sr.Routes()
+		if err != nil {
+			return err
+		}
+		raw, err := net.Listen("tcp", settings.Address)
+		if err != nil {
+			return fmt.Errorf("listen: %w", err)
+		}
+		ls := server.NewListener(raw, settings)
+		return serve(ls, routes, *control, server.Control(sr, ls))
+	})
+}
--- /dev/null
+++ b/internal/standin/network/network.go
@@ -0,0 +1,226 @@
+// Package network is an in-memory stand-in for the links between zones: TCP
+// connections with delay and loss, on whatever clock the process runs on.
+package network
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+)
+
+const (
+	// packetSize bounds one delivery, in bytes.
+	packetSize = 16 << 10
+	// window is the number of deliveries on their way in one direction.
+	window = 256
+	// retransmit is the delay that one lost packet adds.
+	retransmit = 200 * time.Millisecond
+)
+
+// Path is the way between two zones.
+type Path struct {
+	// Delay is one way.
+	Delay time.Duration
+	// Jitter is the most that is added to a delay at random.
+	Jitter time.Duration
+	// Loss is the share of packets that need to be sent again, in [0, 1].
+	Loss float64
+}
+
+// Network connects listeners and dialers. Make one with New.
+type Network struct {
+	lock      sync.Mutex
+	random    *rand.Rand
+	listeners map[string]*Listener
+	paths     map[[2]string]Path
+	// cut holds the zone pairs that are apart.
+	cut map[[2]string]bool
+}
+
+// New returns a network whose random choices follow a seed.
+func New(seed uint64) *Network {
+	return &Network{
+		random:    rand.New(rand.NewPCG(seed, seed)),
+		listeners: map[string]*Listener{},
+		paths:     map[[2]string]Path{},
+		cut:       map[[2]string]bool{},
+	}
+}
+
+func pair(one, two string) [2]string {
+	if one > two {
+		one, two = two, one
+	}
+	return [2]string{one, two}
+}
+
+// SetPath sets the path between two zones, or within one.
+func (nw *Network) SetPath(one, two string, path Path) {
+	nw.lock.Lock()
+	defer nw.lock.Unlock()
+	nw.paths[pair(one, two)] = path
+}
+
+// Cut separates two zones for new connections, or joins them again.
+func (nw *Network) Cut(one, two string, apart bool) {
+	nw.lock.Lock()
+	defer nw.lock.Unlock()
+	nw.cut[pair(one, two)] = apart
+}
+
+// Listener accepts connections to one address. It is a net.Listener.
+type Listener struct {
+	network *Network
+	address string
+	zone    string
+	arrived chan net.Conn
+	closed  chan struct{}
+	once    sync.Once
+}
+
+// Listen returns a listener for an address in a zone.
+func (nw *Network) Listen(zone, address string) *Listener {
+	ls := &Listener{network: nw, address: address, zone: zone, arrived: make(chan net.Conn, window), closed: make(chan struct{})}
+	nw.lock.Lock()
+	defer nw.lock.Unlock()
+	nw.listeners[address] = ls
+	return ls
+}
+
+// Accept is of net.Listener.
+func (ls *Listener) Accept() (net.Conn, error) {
+	select {
+	case cn := <-ls.arrived:
+		return cn, nil
+	case <-ls.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close is of net.Listener.
+func (ls *Listener) Close() error {
+	ls.once.Do(func() {
+		close(ls.closed)
+		ls.network.lock.Lock()
+		defer ls.network.lock.Unlock()
+		if ls.network.listeners[ls.address] == ls {
+			delete(ls.network.listeners, ls.address)
+		}
+	})
+	return nil
+}
+
+// Addr is of net.Listener.
+func (ls *Listener) Addr() net.Addr {
+	return address(ls.address)
+}
+
+type address string
+
+// Network is of net.Addr.
+func (address) Network() string { return "memory" }
+
+// String is of net.Addr.
+func (ad address) String() string { return string(ad) }
+
+// Dialer returns a function that dials from a zone.
+func (nw *Network) Dialer(zone string) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, _, address string) (net.Conn, error) {
+		return nw.dial(ctx, zone, address)
+	}
+}
+
+func (nw *Network) dial(ctx context.Context, zone, address string) (net.Conn, error) {
+	nw.lock.Lock()
+	ls, ok := nw.listeners[address]
+	if !ok {
+		nw.lock.Unlock()
+		return nil, fmt.Errorf("dial %s: connection refused", address)
+	}
+	path := nw.paths[pair(zone, ls.zone)]
+	apart := nw.cut[pair(zone, ls.zone)]
+	nw.lock.Unlock()
+	if apart {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	if err := sleep(ctx, 2*nw.delay(path)); err != nil {
+		return nil, err
+	}
+	near, nearInner := net.Pipe()
+	far, farInner := net.Pipe()
+	go nw.pump(nearInner, farInner, path)
+	go nw.pump(farInner, nearInner, path)
+	select {
+	case ls.arrived <- far:
+		return near, nil
+	case <-ls.closed:
+		_ = near.Close()
+		_ = far.Close()
+		return nil, errors.New("connection refused")
+	}
+}
+
+// delay draws the time that one packet takes.
+func (nw *Network) delay(path Path) time.Duration {
+	nw.lock.Lock()
+	defer nw.lock.Unlock()
+	delay := path.Delay
+	if path.Jitter > 0 {
+		delay += time.Duration(nw.random.Int64N(int64(path.Jitter)))
+	}
+	if path.Loss > 0 && nw.random.Float64() < path.Loss {
+		delay += retransmit
+	}
+	return delay
+}
+
+type packet struct {
+	bytes []byte
+	due   time.Time
+}
+
+// pump carries bytes one way, in order, until either end closes.
+func (nw *Network) pump(from, to net.Conn, path Path) {
+	packets := make(chan packet, window)
+	go deliver(packets, from, to)
+	defer close(packets)
+	buffer := make([]byte, packetSize)
+	for {
+		count, err := from.Read(buffer)
+		if count > 0 {
+			packets <- packet{bytes: append([]byte(nil), buffer[:count]...), due: time.Now().Add(nw.delay(path))}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+func deliver(packets chan packet, from, to net.Conn) {
+	for pk := range packets {
+		time.Sleep(time.Until(pk.due))
+		if _, err := to.Write(pk.bytes); err != nil {
+			break
+		}
+	}
+	_ = to.Close()
+	_ = from.Close()
+	for range packets {
+	}
+}
+
+func sleep(ctx context.Context, duration time.Duration) error {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/standin/site/site.go
@@ -0,0 +1,323 @@
+package site
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+
+	"daisystage.example/daisystage/internal/node/entryvm"
+	"daisystage.example/daisystage/internal/peer/backend"
+	"daisystage.example/daisystage/internal/peer/caller"
+	product "daisystage.example/daisystage/internal/peer/platform"
+	"daisystage.example/daisystage/internal/standin/platform"
+	"daisystage.example/daisystage/internal/standin/server"
+	"daisystage.example/daisystage/internal/world/contract"
+	"daisystage.example/daisystage/internal/world/snapshot"
+	"daisystage.example/daisystage/internal/world/view"
+)
+
+// Token is the secret of the site's only team.
+const Token = "demo-token"
+
+// ClientZone is the zone of the callers.
+const ClientZone = "callers"
+
+// Places gives out addresses and connects them.
+type Places interface {
+	// Reserve returns an address in a zone that Listen takes.
+	Reserve(zone string) (string, error)
+	Listen(address string) (net.Listener, error)
+	Dialer(zone string) backend.DialFunc
+}
+
+// Unit is one server of a site.
+type Unit struct {
+	*server.Server
+	Listener *server.Listener
+	http     *http.Server
+}
+
+// Kill ends the server at once.
+func (un *Unit) Kill() {
+	un.Listener.CloseAll()
+	_ = un.http.Close()
+}
+
+// Site is a running site. Make one with Start.
+type Site struct {
+	Plan     Plan
+	Store    *platform.Faulty
+	Servers  map[string]*Unit
+	Places   Places
+	Configs  []entryvm.Config
+	Log      *zap.Logger
+	lock     sync.Mutex
+	vms      map[string]*entryvm.Process
+	cleanups []func()
+}
+
+// Start starts platform, servers and entry VMs and waits until all of them
+// have the settings. The function that it returns ends all.
+func Start(ctx context.Context, now time.Time, plan Plan, places Places, log *zap.Logger) (*Site, func(), error) {
+	st := &Site{
+		Plan: plan, Store: platform.NewFaulty(platform.NewStore()), Places: places, Log: log,
+		Servers: map[string]*Unit{}, vms: map[string]*entryvm.Process{},
+	}
+	if err := st.start(ctx, now); err != nil {
+		st.close()
+		return nil, nil, err
+	}
+	return st, st.close, nil
+}
+
+func (st *Site) start(ctx context.Context, now time.Time) error {
+	if err := st.startServers(ctx, now); err != nil {
+		return err
+	}
+	if err := st.fillStore(ctx, now); err != nil {
+		return err
+	}
+	if err := st.startEntryVMs(now); err != nil {
+		return err
+	}
+	return st.WaitReady(ctx)
+}
+
+func (st *Site) close() {
+	st.lock.Lock()
+	cleanups := st.cleanups
+	st.cleanups = nil
+	st.lock.Unlock()
+	for i := len(cleanups) - 1; i >= 0; i-- {
+		cleanups[i]()
+	}
+}
+
+func (st *Site) cleanup(end func()) {
+	st.lock.Lock()
+	defer st.lock.Unlock()
+	st.cleanups = append(st.cleanups, end)
+}
+
+func (st *Site) startServers(ctx context.Context, now time.Time) error {
+	for service := range st.Plan.Services {
+		for zone := range st.Plan.Zones {
+			address, err := st.Places.Reserve(st.Plan.Zones[zone])
+			if err != nil {
+				return fmt.Errorf("address of a server: %w", err)
+			}
+			settings := st.Plan.serverSettings(service, zone, address)
+			if err := st.StartServer(now, settings); err != nil {
+				return err
+			}
+			if err := st.putJSON(ctx, view.PrefixServers+settings.Name, settings); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// StartServer starts one server, in place of one of the same name.
+func (st *Site) StartServer(now time.Time, settings server.Settings) error {
+	sr := server.New(now, settings)
+	raw, err := st.Places.Listen(settings.Address)
+	if err != nil {
+		return fmt.Errorf("listen for server %s: %w", settings.Name, err)
+	}
+	routes, err := sr.Routes()
+	if err != nil {
+		return err
+	}
+	un := &Unit{Server: sr, Listener: server.NewListener(raw, settings), http: &http.Server{Handler: routes}}
+	sr.Crash = un.Kill
+	st.Servers[settings.Name] = un
+	go func() { _ = un.http.Serve(un.Listener) }()
+	st.cleanup(un.Kill)
+	return nil
+}
+
+func (st *Site) putJSON(ctx context.Context, key string, value any) error {
+	text, err := json.Marshal(value)
+	if err != nil {
+		return fmt.Errorf("encode %s: %w", key, err)
+	}
+	ob, err := st.Store.Store.Get(ctx, key)
+	if err != nil {
+		ob.Version = 0
+	}
+	if _, err := st.Store.Store.Put(ctx, key, string(text), ob.Version); err != nil {
+		return fmt.Errorf("put %s: %w", key, err)
+	}
+	return nil
+}
+
+// PutManifest writes a snapshot to the platform.
+func (st *Site) PutManifest(ctx context.Context, mf *snapshot.Manifest) error {
+	return st.putJSON(ctx, view.PrefixSnapshots+mf.Collection+"/"+mf.ID, mf)
+}
+
+// PutSetting writes a setting to the platform past the operator API.
+func (st *Site) PutSetting(ctx context.Context, now time.Time, path, body string) (*contract.Setting, error) {
+	previous := ""
+	if ob, err := st.Store.Store.Get(ctx, path); err == nil {
+		have, err := contract.ParseSetting(path, ob.Version, ob.Value)
+		if err != nil {
+			return nil, err
+		}
+		previous = have.Hash
+	}
+	return product.PutSetting(ctx, st.Store.Store, contract.Revision{
+		Path: path, Body: body, Previous: previous, ChangeID: uuid.NewString(),
+		Author: "site", Reason: "set up", WrittenAt: now,
+	})
+}
+
+func (st *Site) fillStore(ctx context.Context, now time.Time) error {
+	for name, body := range st.Plan.Routes {
+		if _, err := st.PutSetting(ctx, now, contract.RoutePath(st.Plan.Team, name), body); err != nil {
+			return err
+		}
+	}
+	token := view.Token{Author: "demo", Subtree: "teams/" + st.Plan.Team + "/"}
+	if err := st.putJSON(ctx, view.TokenKey(Token), token); err != nil {
+		return err
+	}
+	return st.PutManifest(ctx, st.Plan.Manifest(FirstSnapshot))
+}
+
+func (st *Site) startPlatform() (string, error) {
+	address, err := st.Places.Reserve(st.Plan.Zones[0])
+	if err != nil {
+		return "", fmt.Errorf("address of the platform: %w", err)
+	}
+	ls, err := st.Places.Listen(address)
+	if err != nil {
+		return "", fmt.Errorf("listen for the platform: %w", err)
+	}
+	routes, err := platform.Routes(st.Store)
+	if err != nil {
+		return "", err
+	}
+	hs := &http.Server{Handler: routes}
+	go func() { _ = hs.Serve(ls) }()
+	st.cleanup(func() { _ = hs.Close() })
+	return address, nil
+}
+
+func (st *Site) startEntryVMs(now time.Time) error {
+	platformAddress, err := st.startPlatform()
+	if err != nil {
+		return err
+	}
+	var peers []string
+	for at := range st.Plan.EntryVMs {
+		cg, err := st.entryConfig(at, platformAddress)
+		if err != nil {
+			return err
+		}
+		st.Configs = append(st.Configs, cg)
+		peers = append(peers, cg.EntryAddress)
+	}
+	for _, cg := range st.Configs {
+		cg.Peers = peers
+		if err := st.StartEntryVM(now, cg); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (st *Site) entryConfig(at int, platformAddress string) (entryvm.Config, error) {
+	cg := entryvm.Config{}.Defaults()
+	cg.Zone = st.Plan.Zones[at%len(st.Plan.Zones)]
+	cg.Name = fmt.Sprintf("entry-%02d", at)
+	cg.PlatformAddresses = []string{platformAddress}
+	cg.KeepFor = contract.Duration{Duration: st.Plan.KeepFor}
+	cg.ZoneDelays = map[string]contract.Duration{}
+	for _, zone := range st.Plan.Zones {
+		if zone != cg.Zone {
+			cg.ZoneDelays[zone] = contract.Duration{Duration: st.Plan.ZoneDelay}
+		}
+	}
+	for _, address := range []*string{&cg.CallerAddress, &cg.OperatorAddress, &cg.EntryAddress} {
+		reserved, err := st.Places.Reserve(cg.Zone)
+		if err != nil {
+			return cg, fmt.Errorf("address of entry VM %s: %w", cg.Name, err)
+		}
+		*address = reserved
+	}
+	return cg, nil
+}
+
+// StartEntryVM starts the process of one entry VM.
+func (st *Site) StartEntryVM(now time.Time, cg entryvm.Config) error {
+	network := entryvm.Network{Listen: st.Places.Listen, Dial: st.Places.Dialer(cg.Zone)}
+	ps, end, err := entryvm.Start(now, cg, network, st.Log)
+	if err != nil {
+		return fmt.Errorf("start entry VM %s: %w", cg.Name, err)
+	}
+	st.lock.Lock()
+	st.vms[cg.Name] = ps
+	st.lock.Unlock()
+	st.cleanup(end)
+	return nil
+}
+
+// EntryVM returns the process of an entry VM by its place in the plan.
+func (st *Site) EntryVM(at int) *entryvm.Process {
+	st.lock.Lock()
+	defer st.lock.Unlock()
+	return st.vms[st.Configs[at].Name]
+}
+
+// WaitReady waits until all entry VMs offer each other to callers.
+func (st *Site) WaitReady(ctx context.Context) error {
+	for {
+		now := time.Now()
+		ready := 0
+		for at := range st.Configs {
+			ps := st.EntryVM(at)
+			if ps.Confirmation.IsConfirmed(now) && ps.Service.IsReady() && countReady(now, ps) == len(st.Configs) {
+				ready++
+			}
+		}
+		if ready == len(st.Configs) {
+			return nil
+		}
+		select {
+		case <-time.After(20 * time.Millisecond):
+		case <-ctx.Done():
+			return fmt.Errorf("wait for entry VMs: %w", ctx.Err())
+		}
+	}
+}
+
+func countReady(now time.Time, ps *entryvm.Process) int {
+	count := 0
+	for _, vm := range ps.Cluster.Members(now) {
+		if vm.IsReady(now) {
+			count++
+		}
+	}
+	return count
+}
+
+// Caller returns a caller that knows all entry VMs' addresses, and the HTTP
+// client under it.
+func (st *Site) Caller() (*caller.Client, *http.Client) {
+	var seeds []string
+	for _, cg := range st.Configs {
+		seeds = append(seeds, cg.CallerAddress)
+	}
+	hc := &http.Client{Transport: &http.Transport{DialContext: st.Places.Dialer(ClientZone), MaxIdleConnsPerHost: 64}}
+	st.cleanup(hc.CloseIdleConnections)
+	return caller.NewClient(hc, st.Plan.Zones[0], seeds), hc
+}
