--- /dev/null
+++ b/internal/node/entryvm/site_test.go
@@ -0,0 +1,53 @@
+package entryvm_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest"
+	"gotest.tools/v3/assert"
+
+	"daisystage.example/daisystage/internal/peer/caller"
+	"daisystage.example/daisystage/internal/standin/site"
+)
+
+// inSite runs a test with a site on virtual time and in-memory links.
+func inSite(t *testing.T, plan site.Plan, do func(t *testing.T, st *site.Site)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		log := zaptest.NewLogger(t, zaptest.Level(zap.ErrorLevel))
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		st, end, err := site.Start(ctx, time.Now(), plan, site.NewMemory(plan, 1), log)
+		assert.NilError(t, err)
+		defer func() {
+			end()
+			// Connections notice their end after a network delay.
+			time.Sleep(time.Minute)
+		}()
+		do(t, st)
+	})
+}
+
+// ask sends one request with a body of its own.
+func ask(t *testing.T, st *site.Site, client *caller.Client, route string, number int) caller.Result {
+	t.Helper()
+	body := fmt.Sprintf(`{"text":"lesson %d"}`, number)
+	rs, err := client.Query(t.Context(), st.Plan.Team, route, uuid.Must(uuid.NewV7()), []byte(body), 0)
+	assert.NilError(t, err)
+	return rs
+}
+
+func TestWholeAnswer(t *testing.T) {
+	inSite(t, site.Gaisma(), func(t *testing.T, st *site.Site) {
+		client, _ := st.Caller()
+		rs := ask(t, st, client, "find", 1)
+		assert.Equal(t, string(rs.Outcome()), "whole")
+		assert.Equal(t, len(rs.Answer.Parts), st.Plan.Shards)
+	})
+}
--- /dev/null
+++ b/internal/query/scatter/scatter_test.go
@@ -0,0 +1,340 @@
+package scatter
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"daisystage.example/daisystage/internal/world/contract"
+	"daisystage.example/daisystage/internal/world/machine"
+	"daisystage.example/daisystage/internal/world/snapshot"
+	"daisystage.example/daisystage/internal/world/view"
+	"daisystage.example/daisystage/internal/world/zone"
+)
+
+// fakeSender answers from a function and counts the sends by shard.
+type fakeSender struct {
+	answer func(ctx context.Context, sv *machine.Server, pt Part) ([]byte, error)
+	lock   sync.Mutex
+	sends  map[string][]string
+}
+
+func (fs *fakeSender) Send(ctx context.Context, sv *machine.Server, pt Part) ([]byte, error) {
+	fs.lock.Lock()
+	fs.sends[pt.Shard] = append(fs.sends[pt.Shard], sv.Name)
+	fs.lock.Unlock()
+	return fs.answer(ctx, sv, pt)
+}
+
+func bodyOf(pt Part) []byte {
+	return []byte(fmt.Sprintf(`"%s@%s"`, pt.Shard, pt.Snapshot))
+}
+
+// after answers after a time unless the context ends first.
+func after(ctx context.Context, wait time.Duration, pt Part) ([]byte, error) {
+	select {
+	case <-time.After(wait):
+		return bodyOf(pt), nil
+	case <-ctx.Done():
+		return nil, &contract.PartError{Cause: contract.CauseDeadline, Err: ctx.Err()}
+	}
+}
+
+// newView has shards with three replicas each, spread over three zones.
+func newView(tb testing.TB, shards int, route string, ids ...string) *view.View {
+	tb.Helper()
+	vw := view.View{}
+	version := int64(0)
+	apply := func(key string, value any) {
+		text, ok := value.(string)
+		if !ok {
+			encoded, err := json.Marshal(value)
+			assert.NilError(tb, err)
+			text = string(encoded)
+		}
+		version++
+		next, err := vw.Apply(view.Object{Key: key, Version: version, Value: text})
+		assert.NilError(tb, err)
+		vw = next
+	}
+	for at := range shards {
+		for zn := range 3 {
+			name := fmt.Sprintf("sv-%03d-%d", at, zn)
+			apply(view.PrefixServers+name, machine.Server{
+				Name: name, Zone: fmt.Sprintf("zone-%d", zn), Address: name + ":80", Slots: 2, ConnectionLimit: 25,
+			})
+		}
+	}
+	for _, id := range ids {
+		mf := snapshot.Manifest{Collection: "lessons", ID: id}
+		for at := range shards {
+			sh := snapshot.Shard{Name: fmt.Sprintf("shard-%03d", at)}
+			for zn := range 3 {
+				sh.Replicas = append(sh.Replicas, fmt.Sprintf("sv-%03d-%d", at, zn))
+			}
+			mf.Shards = append(mf.Shards, sh)
+		}
+		apply(view.PrefixSnapshots+"lessons/"+id, mf)
+	}
+	text, _ := contract.Revision{Path: "teams/gaisma/routes/find", Body: route}.Encode()
+	apply("teams/gaisma/routes/find", text)
+	return &vw
+}
+
+const findRoute = "class = \"urgent\"\ncollection = \"lessons\"\ndeadline = \"400ms\"\ncanary = false\n"
+
+func newRequest(now time.Time, vw *view.View) *Request {
+	st, _ := vw.Settings.Get("teams/gaisma/routes/find")
+	return &Request{
+		ID: "request", Fingerprint: 7, Query: []byte(`{}`), Setting: st, View: vw,
+		AnswerBy: now.Add(st.Route.Deadline.Duration),
+	}
+}
+
+func newQuery[R ReplicaPolicy, H HedgePolicy](fs *fakeSender) *Query[R, H] {
+	fs.sends = map[string][]string{}
+	return &Query[R, H]{
+		Sender: fs, Zone: zone.Zone{Name: "zone-0", Delays: map[string]time.Duration{"zone-1": 1, "zone-2": 2}},
+		Quarantine: contract.NewQuarantine(),
+	}
+}
+
+// teach records latencies so that hedging has a quantile.
+func teach(rq *Request, took time.Duration) {
+	for range 100 {
+		rq.Setting.State.Latency.Record(took)
+	}
+	rq.Setting.State.Latency.Publish()
+}
+
+func TestRunFaults(t *testing.T) {
+	fail := func(cause contract.Cause, notRun bool) error {
+		return &contract.PartError{Cause: cause, NotRun: notRun}
+	}
+	tests := []struct {
+		name   string
+		route  string
+		answer func(ctx context.Context, sv *machine.Server, pt Part) ([]byte, error)
+		// want is answered shards of four, and the most sends for shard-000.
+		answered, sends int
+		mayHaveRun      bool
+		took            time.Duration
+	}{
+		{
+			name: "all answer", route: findRoute, answered: 4, sends: 1, mayHaveRun: true, took: 10 * time.Millisecond,
+			answer: func(ctx context.Context, _ *machine.Server, pt Part) ([]byte, error) {
+				return after(ctx, 10*time.Millisecond, pt)
+			},
+		},
+		{
+			name: "one replica sheds", route: findRoute, answered: 4, sends: 2, mayHaveRun: true, took: 10 * time.Millisecond,
+			answer: func(ctx context.Context, sv *machine.Server, pt Part) ([]byte, error) {
+				if sv.Name == "sv-000-0" {
+					return nil, fail(contract.CauseShed, true)
+				}
+				return after(ctx, 10*time.Millisecond, pt)
+			},
+		},
+		{
+			name: "all replicas of a shard are gone", route: findRoute, answered: 3, sends: 3, mayHaveRun: true, took: 10 * time.Millisecond,
+			answer: func(ctx context.Context, _ *machine.Server, pt Part) ([]byte, error) {
+				if pt.Shard == "shard-000" {
+					return nil, fail(contract.CauseDialFailed, true)
+				}
+				return after(ctx, 10*time.Millisecond, pt)
+			},
+		},
+		{
+			name: "a straggler is hedged", route: findRoute, answered: 4, sends: 2, mayHaveRun: true, took: 22 * time.Millisecond,
+			answer: func(ctx context.Context, sv *machine.Server, pt Part) ([]byte, error) {
+				if sv.Name == "sv-000-0" {
+					return after(ctx, time.Second, pt)
+				}
+				return after(ctx, 10*time.Millisecond, pt)
+			},
+		},
+		{
+			name: "a mismatched answer is asked again", route: findRoute, answered: 4, sends: 2, mayHaveRun: true, took: 10 * time.Millisecond,
+			answer: func(ctx context.Context, sv *machine.Server, pt Part) ([]byte, error) {
+				if sv.Name == "sv-000-0" {
+					return nil, fail(contract.CauseMismatched, false)
+				}
+				return after(ctx, 10*time.Millisecond, pt)
+			},
+		},
+		{
+			name: "a request that is not idempotent is not sent again", answered: 0, sends: 1, mayHaveRun: true,
+			route: findRoute + "shards = \"one\"\nidempotent = false\n",
+			answer: func(context.Context, *machine.Server, Part) ([]byte, error) {
+				return nil, fail(contract.CauseLinkBroken, false)
+			},
+		},
+		{
+			name: "a request that is not idempotent is sent again when it did not run", answered: 1, sends: 2, mayHaveRun: true,
+			route: findRoute + "shards = \"one\"\nidempotent = false\n", took: 10 * time.Millisecond,
+			answer: func(ctx context.Context, sv *machine.Server, pt Part) ([]byte, error) {
+				if sv.Zone == "zone-0" {
+					return nil, fail(contract.CauseShed, true)
+				}
+				return after(ctx, 10*time.Millisecond, pt)
+			},
+		},
+		{
+			name: "all refuse a request that is not idempotent", answered: 0, sends: 3, mayHaveRun: false,
+			route: findRoute + "shards = \"one\"\nidempotent = false\n",
+			answer: func(context.Context, *machine.Server, Part) ([]byte, error) {
+				return nil, fail(contract.CauseShed, true)
+			},
+		},
+		{
+			name: "a silent request that is not idempotent is not hedged", answered: 0, sends: 1, mayHaveRun: true,
+			route: findRoute + "shards = \"one\"\nidempotent = false\n", took: 400 * time.Millisecond,
+			answer: func(ctx context.Context, _ *machine.Server, pt Part) ([]byte, error) {
+				return after(ctx, time.Hour, pt)
+			},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fs := &fakeSender{answer: tt.answer}
+				qr := newQuery[NearestIdle, QuantileHedge](fs)
+				rq := newRequest(time.Now(), newView(t, 4, tt.route, "s1"))
+				teach(rq, 10*time.Millisecond)
+				startedAt := time.Now()
+				an, err := qr.Run(t.Context(), rq)
+				assert.NilError(t, err)
+				most := 0
+				for _, servers := range fs.sends {
+					most = max(most, len(servers))
+				}
+				assert.Equal(t, an.Coverage.Answered, tt.answered)
+				assert.Equal(t, len(an.Parts), tt.answered)
+				assert.Equal(t, an.Coverage.Answered+len(an.Coverage.Missing), an.Coverage.Total)
+				assert.Equal(t, most, tt.sends)
+				assert.Equal(t, an.MayHaveRun, tt.mayHaveRun)
+				if tt.took > 0 {
+					// The hedge comes within a histogram's precision of its time.
+					assert.Assert(t, time.Since(startedAt)-tt.took < time.Millisecond, "%s", time.Since(startedAt))
+				}
+			})
+		})
+	}
+}
+
+func TestRunRestartsOnNewerSnapshotOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fs := &fakeSender{answer: func(ctx context.Context, _ *machine.Server, pt Part) ([]byte, error) {
+			if pt.Snapshot == "s2" && pt.Shard == "shard-002" {
+				return nil, &contract.PartError{Cause: contract.CauseSnapshotLost, NotRun: true}
+			}
+			return after(ctx, 5*time.Millisecond, pt)
+		}}
+		qr := newQuery[NearestIdle, QuantileHedge](fs)
+		an, err := qr.Run(t.Context(), newRequest(time.Now(), newView(t, 4, findRoute, "s1", "s2")))
+		assert.NilError(t, err)
+		assert.Equal(t, an.Manifest.ID, "s1")
+		assert.Equal(t, an.Restarts, 1)
+		assert.Equal(t, an.Coverage.Answered, 4)
+		for _, pt := range an.Parts {
+			assert.Equal(t, string(pt.Body), `"`+pt.Shard+`@s1"`)
+		}
+	})
+}
+
+func TestCanaryKeepsCrashingRequestFromAllServers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fs := &fakeSender{answer: func(context.Context, *machine.Server, Part) ([]byte, error) {
+			return nil, &contract.PartError{Cause: contract.CauseLinkBroken}
+		}}
+		qr := newQuery[NearestIdle, QuantileHedge](fs)
+		vw := newView(t, 10, "class = \"urgent\"\ncollection = \"lessons\"\n", "s1")
+		lost := map[string]bool{}
+		for range 5 {
+			now := time.Now()
+			if qr.Quarantine.Bars(now, 7) {
+				break
+			}
+			_, err := qr.Run(t.Context(), newRequest(now, vw))
+			assert.NilError(t, err)
+		}
+		for _, servers := range fs.sends {
+			for _, name := range servers {
+				lost[name] = true
+			}
+		}
+		assert.Equal(t, len(lost), 2, "%v", lost)
+		assert.Assert(t, qr.Quarantine.Bars(time.Now(), 7))
+	})
+}
+
+// TestSameAnswerAsNaive compares the answers of the policies with the naive
+// ones on the same faults.
+func TestSameAnswerAsNaive(t *testing.T) {
+	answer := func(ctx context.Context, sv *machine.Server, pt Part) ([]byte, error) {
+		return after(ctx, time.Duration(1+len(sv.Name)%3)*time.Millisecond, pt)
+	}
+	synctest.Test(t, func(t *testing.T) {
+		gatherWith := func(run func(context.Context, *Request) (Answer, error)) []string {
+			an, err := run(t.Context(), newRequest(time.Now(), newView(t, 30, findRoute, "s1", "s2")))
+			assert.NilError(t, err)
+			var bodies []string
+			for _, pt := range an.Parts {
+				bodies = append(bodies, pt.Shard+string(pt.Body))
+			}
+			return bodies
+		}
+		naive := gatherWith(newQuery[FirstReplica, NoHedge](&fakeSender{answer: answer}).Run)
+		ours := gatherWith(newQuery[NearestIdle, QuantileHedge](&fakeSender{answer: answer}).Run)
+		assert.Assert(t, slices.Equal(naive, ours))
+		assert.Equal(t, len(naive), 30)
+	})
+}
+
+func BenchmarkChooseReplica(b *testing.B) {
+	now := time.Now()
+	fs := &fakeSender{}
+	qr := newQuery[NearestIdle, QuantileHedge](fs)
+	rq := newRequest(now, newView(b, 30, findRoute, "s1"))
+	mf, err := qr.pin(rq, now, nil)
+	assert.NilError(b, err)
+	ga := newGather(qr, rq, mf)
+	b.ReportAllocs()
+	for b.Loop() {
+		if ga.choose(now, &ga.parts[3], "") == nil {
+			b.Fatal("no replica")
+		}
+	}
+}
+
+// nullSender answers at once.
+type nullSender struct{}
+
+func (nullSender) Send(context.Context, *machine.Server, Part) ([]byte, error) {
+	return []byte(`"answer"`), nil
+}
+
+func BenchmarkScatter(b *testing.B) {
+	for _, shards := range []int{30, 150, 750} {
+		b.Run(fmt.Sprintf("shards=%d", shards), func(b *testing.B) {
+			vw := newView(b, shards, findRoute, "s1")
+			qr := newQuery[NearestIdle, QuantileHedge](&fakeSender{})
+			qr.Sender = nullSender{}
+			b.ReportAllocs()
+			for b.Loop() {
+				an, err := qr.Run(b.Context(), newRequest(time.Now(), vw))
+				if err != nil || an.Coverage.Answered != shards {
+					b.Fatal("not whole")
+				}
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(shards), "ns/shard")
+		})
+	}
+}
