--- a/internal/node/entryvm/upkeep.go
+++ b/internal/node/entryvm/upkeep.go
@@ -19,6 +19,7 @@
 	defer ticker.Stop()
 	last := time.Now()
 	confirmed := false
+	leaving := map[string]bool{}
 	for {
 		select {
 		case <-ticker.C:
@@ -34,10 +35,23 @@
 		ps.Backend.SetEntryVMs(ps.liveEntryVMs(now))
 		ps.Backend.Forget(ps.knowsAddress())
 		ps.Metrics.Gauges(ps.gauges(now))
+		ps.logLeaving(now, leaving)
 		confirmed = ps.logConfirmation(now, confirmed)
 	}
 }
 
+// logLeaving logs the servers that began to leave since the last call; before
+// holds those that leave.
+func (ps *Process) logLeaving(now time.Time, before map[string]bool) {
+	for name, sv := range ps.Views.Load().Servers.All() {
+		leaves := sv.IsLeaving(now)
+		if leaves && !before[name] {
+			events.ServerGone.Log(ps.Log, zap.String("server", name))
+		}
+		before[name] = leaves
+	}
+}
+
 func (ps *Process) logConfirmation(now time.Time, before bool) bool {
 	confirmed := ps.Confirmation.IsConfirmed(now)
 	if confirmed && !before {
