--- a/cmd/daisystage/query.go
+++ b/cmd/daisystage/query.go
@@ -12,7 +12,6 @@
 	"github.com/google/uuid"
 
 	"daisystage.example/daisystage/internal/peer/caller"
-	"daisystage.example/daisystage/internal/world/contract"
 )
 
 const usageQuery = `Send one request the way a caller does: ask for the entries, pick the nearest,
@@ -82,15 +81,14 @@
 		}
 		fmt.Fprintf(tl.out, "  %s  %s\n", pt.Shard, pt.Body)
 	}
-	printReceipt(an.Receipt, tl)
-	return nil
+	return printReceipt(rs, tl)
 }
 
 // printReceipt prints what the receipt tells of hedges and misses.
-func printReceipt(text []byte, tl tool) {
-	var rc contract.Receipt
-	if json.Unmarshal(text, &rc) != nil {
-		return
+func printReceipt(rs caller.Result, tl tool) error {
+	rc, err := rs.Receipt()
+	if err != nil {
+		return err
 	}
 	attempts, hedges := 0, 0
 	for _, pt := range rc.Parts {
@@ -103,4 +101,5 @@
 			fmt.Fprintf(tl.out, "            %s: server %s gave no answer (%s)\n", pt.Shard, ms.Server, ms.Cause)
 		}
 	}
+	return nil
 }
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -18,6 +18,8 @@
 	app := kingpin.New("standin", "Stand-ins of the platform and of backend servers, for tests and trials.")
 	addPlatform(app)
 	addServer(app)
+	addSetup(app)
+	addLoad(app)
 	if _, err := app.Parse(os.Args[1:]); err != nil {
 		fmt.Fprintf(os.Stderr, "standin: %v\n", err)
 		os.Exit(2)
--- a/cmd/standin/server.go
+++ b/cmd/standin/server.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"os"
@@ -9,6 +10,7 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"daisystage.example/daisystage/internal/standin/server"
+	"daisystage.example/daisystage/internal/world/view"
 )
 
 const usageServer = `Run a backend server that holds every shard of every snapshot.
@@ -16,12 +18,18 @@
 Control address: PUT /faults {"straggle":20}, PUT /freeze, GET /runs,
 GET /connections. The faults are listed in internal/standin/server.
 
-Example: standin server --name s1 --address 127.0.0.1:8100 --control 127.0.0.1:8101`
+With --platform the server writes its record, servers/<name>, at its start.
+
+Example: standin server --name s1 --zone riga-1 --address 127.0.0.1:8100 --control 127.0.0.1:8101 \
+  --platform 127.0.0.1:8000`
 
 func addServer(app *kingpin.Application) {
 	cmd := app.Command("server", usageServer)
 	settings := server.Settings{}.Defaults()
 	cmd.Flag("name", "Name of the server.").Required().StringVar(&settings.Name)
+	cmd.Flag("zone", "Failure domain of the server.").StringVar(&settings.Zone)
+	cmd.Flag("service", "Service of the server.").Default("lessons").StringVar(&settings.Service)
+	platformAddress := cmd.Flag("platform", "Platform to register with.").String()
 	cmd.Flag("address", "Address of the server.").Required().StringVar(&settings.Address)
 	cmd.Flag("slots", "Parts that run at once.").Default("2").IntVar(&settings.Slots)
 	cmd.Flag("connections", "Most connections.").Default("25").IntVar(&settings.ConnectionLimit)
@@ -41,6 +49,21 @@
 			return fmt.Errorf("listen: %w", err)
 		}
 		ls := server.NewListener(raw, settings)
+		if *platformAddress != "" {
+			if err := register(*platformAddress, settings); err != nil {
+				return err
+			}
+		}
 		return serve(ls, routes, *control, server.Control(sr, ls))
 	})
 }
+
+func register(address string, settings server.Settings) error {
+	ctx, cancel := context.WithTimeout(context.Background(), setupBudget)
+	defer cancel()
+	store, err := connect(address)
+	if err != nil {
+		return err
+	}
+	return putJSON(ctx, store, view.PrefixServers+settings.Name, settings)
+}
--- a/internal/peer/backend/client.go
+++ b/internal/peer/backend/client.go
@@ -27,6 +27,9 @@
 	spareVMs = 1
 	// pollEvery is the time between two readings of a server's load.
 	pollEvery = time.Second
+	// pollsPerSecond bounds the readings of one process; with more servers
+	// each of them is read less often.
+	pollsPerSecond = 40
 	// pollTimeout bounds one reading.
 	pollTimeout = 500 * time.Millisecond
 )
@@ -244,14 +247,20 @@
 	}
 }
 
-// Poll reads load and health of servers until the context ends. servers
-// returns those in the current view.
+// Poll reads load and health of servers until the context ends, some each
+// second. servers returns those in the current view.
 func (cl *Client) Poll(ctx context.Context, servers func() []*machine.Server) {
 	ticker := time.NewTicker(pollEvery)
 	defer ticker.Stop()
+	var left []*machine.Server
 	for {
+		if len(left) == 0 {
+			left = servers()
+		}
+		batch := left[:min(len(left), pollsPerSecond)]
+		left = left[len(batch):]
 		var polls sync.WaitGroup
-		for _, sv := range servers() {
+		for _, sv := range batch {
 			polls.Go(func() { cl.pollServer(ctx, sv) })
 		}
 		polls.Wait()
--- a/internal/peer/caller/client.go
+++ b/internal/peer/caller/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -62,6 +63,22 @@
 	return contract.Unknown
 }
 
+// Receipt returns the receipt that came with the answer or the refusal.
+func (rs Result) Receipt() (*contract.Receipt, error) {
+	var text []byte
+	switch {
+	case rs.Answer != nil:
+		text = rs.Answer.Receipt
+	case rs.Refusal != nil:
+		text = rs.Refusal.Receipt
+	}
+	rc := &contract.Receipt{}
+	if err := json.Unmarshal(text, rc); err != nil {
+		return nil, fmt.Errorf("decode receipt: %w", err)
+	}
+	return rc, nil
+}
+
 func (cl *Client) connect(address string) (*callerapi.Client, error) {
 	ac, err := callerapi.NewClient("http://"+address, callerapi.WithClient(cl.http))
 	if err != nil {
--- a/internal/peer/entry/cluster.go
+++ b/internal/peer/entry/cluster.go
@@ -284,7 +284,7 @@
 				continue
 			}
 			mb.EntryVM = vm
-			events.PeerJoined.Log(cr.Log, zap.String("peer", vm.Name), zap.String("zone", vm.Zone))
+			events.PeerJoined.Log(cr.Log, zap.String("peer", vm.Name), zap.String("peer_zone", vm.Zone))
 		}
 		if mb.Incarnation != vm.Incarnation && vm.Incarnation > mb.Incarnation {
 			mb = Member{EntryVM: vm}
--- a/internal/peer/entry/cluster_test.go
+++ b/internal/peer/entry/cluster_test.go
@@ -137,3 +137,66 @@
 	runtime.ReadMemStats(&ms)
 	return int64(ms.HeapAlloc)
 }
+
+// settingObject is a change of a setting at a version.
+func settingObject(version int64, deadline string) view.Object {
+	const path = "teams/gaisma/routes/find"
+	text, _ := contract.Revision{Path: path, Body: "collection = \"lessons\"\ndeadline = \"" + deadline + "\"\n"}.Encode()
+	return view.Object{Key: path, Version: version, Value: text}
+}
+
+func apply(cr *Cluster, ob view.Object) {
+	cr.Views.Update(func(vw view.View) view.View {
+		next, err := vw.Apply(ob)
+		if err != nil {
+			panic(err)
+		}
+		return next
+	})
+}
+
+func versionOf(cr *Cluster) int64 {
+	st, ok := cr.Views.Load().Settings.Get("teams/gaisma/routes/find")
+	if !ok {
+		return 0
+	}
+	return st.Version
+}
+
+// TestChangeSpreadsFromOneWatcher counts the rounds, one a second, until a
+// change that one process heard is in force on all. A failure domain of the
+// target holds 148 processes, and a change must be in force within 7 s.
+func TestChangeSpreadsFromOneWatcher(t *testing.T) {
+	const mostRounds = 7
+	for _, count := range []int{9, 30, 148} {
+		t.Run(fmt.Sprintf("peers=%d", count), func(t *testing.T) {
+			_, all := newClusters(count)
+			everyRound := func() {
+				for _, cr := range all {
+					cr.round(t.Context())
+				}
+			}
+			for range 20 {
+				everyRound()
+			}
+			apply(all[0], settingObject(1, "300ms"))
+			rounds := 0
+			for lagging(all, 1) > 0 {
+				everyRound()
+				rounds++
+				assert.Assert(t, rounds <= mostRounds, "%d lag after %d rounds", lagging(all, 1), rounds)
+			}
+			t.Logf("%d processes: %d rounds", count, rounds)
+		})
+	}
+}
+
+func lagging(all []*Cluster, version int64) int {
+	count := 0
+	for _, cr := range all {
+		if versionOf(cr) < version {
+			count++
+		}
+	}
+	return count
+}
