--- a/cmd/daisystage/serve.go
+++ b/cmd/daisystage/serve.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"bytes"
 	"fmt"
+	stdlog "log"
 	"os"
 	"os/signal"
 	"syscall"
@@ -12,6 +14,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"daisystage.example/daisystage/internal/node/entryvm"
+	"daisystage.example/daisystage/internal/node/events"
 )
 
 const usageServe = `Run the process of an entry VM until SIGTERM or SIGINT.
@@ -37,6 +40,8 @@
 		return err
 	}
 	defer func() { _ = log.Sync() }()
+	stdlog.SetFlags(0)
+	stdlog.SetOutput(libraryWriter{log})
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	ps, end, err := entryvm.Start(time.Now(), cg, entryvm.TCP(), log)
@@ -49,6 +54,15 @@
 	return nil
 }
 
+// libraryWriter logs what libraries print.
+type libraryWriter struct{ log *zap.Logger }
+
+// Write is of io.Writer.
+func (lw libraryWriter) Write(line []byte) (int, error) {
+	events.Library.Log(lw.log, zap.ByteString("message", bytes.TrimSpace(line)))
+	return len(line), nil
+}
+
 func newLogger(cg entryvm.Config, tl tool) (*zap.Logger, error) {
 	level, err := zapcore.ParseLevel(cg.LogLevel)
 	if err != nil {
--- a/internal/node/events/events.go
+++ b/internal/node/events/events.go
@@ -47,6 +47,7 @@
 	ServerGone  = Event{401, "server_leaving", zapcore.InfoLevel}
 	ServerLost  = Event{402, "server_lost_to_request", zapcore.ErrorLevel}
 	Quarantined = Event{403, "request_quarantined", zapcore.ErrorLevel}
+	Library     = Event{404, "library", zapcore.WarnLevel}
 
 	AnswerPartial = Event{501, "answer_partial", zapcore.WarnLevel}
 	AnswerRefused = Event{502, "answer_refused", zapcore.WarnLevel}
@@ -62,7 +63,7 @@
 		Started, Leaving, Draining, Stopped, Paused,
 		WatchFailed, OlderObject, BadObject, StaleStore, ReceiptsDropped, ReceiptsFailed, ClaimsSwept,
 		PeerFailed, PeerJoined, PeerSilent, Isolated, Confirmed, PeerPulled,
-		ServerGone, ServerLost, Quarantined,
+		ServerGone, ServerLost, Quarantined, Library,
 		AnswerPartial, AnswerRefused, AnswerUnknown,
 		SettingAccepted, SettingRefused,
 	}
--- a/internal/peer/caller/handler.go
+++ b/internal/peer/caller/handler.go
@@ -173,7 +173,7 @@
 	}
 	status := ogenerrors.ErrorCode(err)
 	if status >= http.StatusInternalServerError {
-		writeRefusal(rw, status, contract.Refuse(contract.Unknown, contract.CodeNoAnswer, "%v", err))
+		// The answer broke off on its way; nothing can be added to it.
 		return
 	}
 	writeRefusal(rw, status, contract.Refuse(contract.Invalid, contract.CodeBadRequest, "the request can't be read: %v", err))
--- a/internal/query/admit/gate.go
+++ b/internal/query/admit/gate.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	// smoothing is the weight of old durations in the mean, in 1/16.
-	smoothing = 15
+	// smoothing is the weight of old durations in the mean, in 1/64.
+	smoothing = 63
 	// startCapacity is used until the first SetCapacity.
 	startCapacity = 256
 	// contendedShare is the part of the capacity, in 1/100, that one team may
@@ -49,10 +49,12 @@
 
 // Ticket is the right of one request to run, to be given back with Leave.
 type Ticket struct {
-	gate   *Gate
-	team   *team
-	class  contract.Class
+	gate  *Gate
+	team  *team
+	class contract.Class
+	// parts is what was admitted, held what is not over yet.
 	parts  int64
+	held   atomic.Int64
 	weight int
 	// maxInFlight bounds the team's requests at the gate.
 	maxInFlight int64
@@ -80,7 +82,7 @@
 	// waiting counts the requests in the queues, waitingParts their parts.
 	waiting      atomic.Int64
 	waitingParts atomic.Int64
-	// meanNanos is the smoothed duration of a request.
+	// meanNanos is the smoothed duration of a part.
 	meanNanos atomic.Int64
 	// activeTeams counts the teams seen within activeFor.
 	activeTeams atomic.Int64
@@ -221,6 +223,7 @@
 		gt.inFlight.Add(-tk.parts)
 		return false
 	}
+	tk.held.Store(tk.parts)
 	tk.team.inFlight.Add(tk.parts)
 	tk.team.requests.Add(1)
 	if tk.class != contract.Urgent {
@@ -246,8 +249,13 @@
 	return true
 }
 
-// Leave gives the ticket back. It is called once.
-func (tk *Ticket) Leave(now time.Time) {
+// PartOver gives one part of the ticket back. Parts beyond those admitted are
+// passed over.
+func (tk *Ticket) PartOver(now time.Time) {
+	if left := tk.held.Add(-1); left < 0 {
+		tk.held.Add(1)
+		return
+	}
 	gt := tk.gate
 	took := now.Sub(tk.startedAt).Nanoseconds()
 	mean := gt.meanNanos.Load()
@@ -255,12 +263,22 @@
 		mean = took
 	}
 	gt.meanNanos.Store((mean*smoothing + took) / (smoothing + 1))
-	tk.team.inFlight.Add(-tk.parts)
+	gt.release(tk, 1)
+}
+
+// Leave gives the rest of the ticket back. It is called once, after the last
+// PartOver.
+func (tk *Ticket) Leave() {
 	tk.team.requests.Add(-1)
+	tk.gate.release(tk, max(tk.held.Swap(0), 0))
+}
+
+func (gt *Gate) release(tk *Ticket, parts int64) {
+	tk.team.inFlight.Add(-parts)
 	if tk.class != contract.Urgent {
-		gt.ordinary.Add(-tk.parts)
+		gt.ordinary.Add(-parts)
 	}
-	gt.inFlight.Add(-tk.parts)
+	gt.inFlight.Add(-parts)
 	if gt.waiting.Load() > 0 {
 		gt.signal()
 	}
--- a/internal/query/request/once.go
+++ b/internal/query/request/once.go
@@ -30,7 +30,8 @@
 	if err != nil {
 		return nil, sv.refuseOnce(ctx, rn, err)
 	}
-	defer func() { ticket.Leave(time.Now()) }()
+	defer ticket.Leave()
+	rn.ticket = ticket
 	return sv.claimAndRun(ctx, rn)
 }
 
--- a/internal/query/request/service.go
+++ b/internal/query/request/service.go
@@ -104,6 +104,7 @@
 	deadline time.Time
 	parts    int64
 	print    uint64
+	ticket   *admit.Ticket
 	sends    int
 	extra    int
 }
@@ -211,7 +212,8 @@
 	if err != nil {
 		return nil, err
 	}
-	defer func() { ticket.Leave(time.Now()) }()
+	defer ticket.Leave()
+	rn.ticket = ticket
 	// The process may have been paused since the call came in.
 	if err := sv.permit(time.Now(), rn); err != nil {
 		return nil, err
@@ -257,6 +259,7 @@
 		Setting:     rn.setting,
 		View:        rn.view,
 		AnswerBy:    sv.answerBy(rn),
+		PartOver:    func() { rn.ticket.PartOver(time.Now()) },
 	}
 	an, err := sv.Scatter.Run(ctx, rq)
 	rn.sends, rn.extra = an.Sends, an.Extra
--- a/internal/query/scatter/gather.go
+++ b/internal/query/scatter/gather.go
@@ -25,7 +25,10 @@
 	primaries  int
 	hedgeAfter time.Duration
 	hedging    bool
-	// vanished is set when all replicas of a shard lost the snapshot.
+	// mayRestart is set while there is another snapshot to start again on.
+	mayRestart bool
+	// vanished is set when all replicas of a shard lost the snapshot and the
+	// request may be started again.
 	vanished   bool
 	mayHaveRun bool
 	// careful is set while the request is suspected to crash servers.
@@ -183,7 +186,7 @@
 			continue
 		}
 		sv, ok := ga.rq.View.Servers.Get(name)
-		if ok && !sv.IsLeaving(now) {
+		if ok && !sv.IsLeaving(now) && sv.State.Holds(now, ga.manifest.ID) {
 			ga.candidates = append(ga.candidates, sv)
 		}
 	}
@@ -236,6 +239,8 @@
 		sv.State.Overloaded(now)
 	case contract.CauseDraining:
 		sv.State.MarkLeaving(now)
+	case contract.CauseSnapshotLost:
+		sv.State.Lose(now, ga.manifest.ID)
 	case contract.CauseDialFailed, contract.CauseLinkBroken, contract.CauseMismatched:
 		sv.State.Failed(now)
 	}
@@ -277,10 +282,9 @@
 	pt := &ga.parts[rs.part]
 	pt.body = rs.body
 	pt.answered = true
-	pt.over = true
 	pt.record.Server = winner.server.Name
 	pt.record.Took = now.Sub(pt.startedAt)
-	ga.waiting--
+	ga.end(pt)
 	for _, ap := range pt.open {
 		ap.cancel()
 	}
@@ -304,22 +308,43 @@
 	}
 	sv := ga.choose(now, pt, "")
 	if sv == nil {
-		ga.vanished = ga.vanished || cause == contract.CauseSnapshotLost && rt.Idempotent
+		ga.vanished = ga.vanished || cause == contract.CauseSnapshotLost && ga.restartHelps(now)
 		ga.giveUp(at, cause)
 		return
 	}
-	if !ga.rq.Setting.State.Retries.TrySpend() {
+	if addsLoad(cause) && !ga.rq.Setting.State.Retries.TrySpend() {
 		ga.giveUp(at, cause)
 		return
 	}
 	ga.send(ctx, now, at, sv, false)
 }
 
+// restartHelps reports whether there is another snapshot and time to answer
+// from it.
+func (ga *gather[R, H]) restartHelps(now time.Time) bool {
+	rt := ga.rq.Setting.Route
+	usual := ga.rq.Setting.State.Latency.Recent().P99
+	return ga.mayRestart && rt.Idempotent && ga.rq.AnswerBy.Sub(now) > usual
+}
+
+// addsLoad reports whether a retry after the cause adds load: a server that
+// lost the snapshot or leaves did no work, and is not asked again for a while.
+func addsLoad(cause contract.Cause) bool {
+	return cause != contract.CauseSnapshotLost && cause != contract.CauseDraining
+}
+
 func (ga *gather[R, H]) giveUp(at int, cause contract.Cause) {
-	pt := &ga.parts[at]
+	ga.parts[at].record.Cause = cause
+	ga.end(&ga.parts[at])
+}
+
+// end counts a part that is answered or given up.
+func (ga *gather[R, H]) end(pt *partState) {
 	pt.over = true
-	pt.record.Cause = cause
 	ga.waiting--
+	if ga.rq.PartOver != nil {
+		ga.rq.PartOver()
+	}
 }
 
 // nextHedge returns the earliest time at which a part is due for a hedge.
--- a/internal/query/scatter/scatter.go
+++ b/internal/query/scatter/scatter.go
@@ -31,6 +31,9 @@
 	View    *view.View
 	// AnswerBy is the deadline less the margin for the answer's way back.
 	AnswerBy time.Time
+	// PartOver is called for each part that is answered or given up; it may be
+	// nil.
+	PartOver func()
 }
 
 // Part is one attempt at one shard.
@@ -102,12 +105,13 @@
 			return Answer{Restarts: len(vanished), MayHaveRun: mayHaveRun}, err
 		}
 		ga := newGather(qr, rq, mf)
+		ga.mayRestart = len(vanished) == 0 && hasOther(rq, mf.ID)
 		ga.run(ctx)
 		an := ga.answer()
 		sends, extra = sends+an.Sends, extra+an.Extra
 		mayHaveRun = mayHaveRun || an.MayHaveRun
 		an.Restarts, an.MayHaveRun, an.Sends, an.Extra = len(vanished), mayHaveRun, sends, extra
-		if !ga.vanished || len(vanished) > 0 || !hasOther(rq, mf.ID) {
+		if !ga.vanished {
 			return an, nil
 		}
 		vanished[mf.ID] = true
@@ -122,9 +126,9 @@
 	}
 	return cl.Pin(
 		func(id string) bool { return vanished[id] },
-		func(name string) bool {
+		func(name, id string) bool {
 			sv, ok := rq.View.Servers.Get(name)
-			return ok && !sv.IsLeaving(now)
+			return ok && !sv.IsLeaving(now) && sv.State.Holds(now, id)
 		})
 }
 
--- a/internal/standin/server/listener.go
+++ b/internal/standin/server/listener.go
@@ -16,6 +16,8 @@
 	settings Settings
 	lock     sync.Mutex
 	open     map[*frozenConn]bool
+	// Double makes the connections send everything twice.
+	Double atomic.Bool
 	// Most is the highest number of connections that were open at once;
 	// Refused counts those above the limit.
 	Most, Refused atomic.Int64
@@ -103,7 +105,11 @@
 	if fc.frozen.Load() {
 		return len(buffer), nil
 	}
-	return fc.Conn.Write(buffer)
+	count, err := fc.Conn.Write(buffer)
+	if err == nil && fc.listener.Double.Load() {
+		_, err = fc.Conn.Write(buffer)
+	}
+	return count, err
 }
 
 // Close is of net.Conn.
@@ -115,7 +121,7 @@
 }
 
 // Control returns the handler of the control address: PUT /faults, PUT
-// /freeze, GET /runs and GET /connections.
+// /freeze, PUT /double, GET /runs and GET /connections.
 func Control(sr *Server, ls *Listener) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("PUT /faults", func(rw http.ResponseWriter, rq *http.Request) {
@@ -129,6 +135,7 @@
 		sr.Set(faults)
 	})
 	mux.HandleFunc("PUT /freeze", func(http.ResponseWriter, *http.Request) { ls.Freeze() })
+	mux.HandleFunc("PUT /double", func(http.ResponseWriter, *http.Request) { ls.Double.Store(true) })
 	mux.HandleFunc("GET /runs", func(rw http.ResponseWriter, _ *http.Request) {
 		_ = json.NewEncoder(rw).Encode(sr.Runs())
 	})
--- a/internal/world/machine/server.go
+++ b/internal/world/machine/server.go
@@ -24,6 +24,8 @@
 	readmitAfter = 10 * time.Second
 	// suspectTime is how long a server that failed is tried last.
 	suspectTime = 2 * time.Second
+	// lostTime is how long a server is not asked for a snapshot that it lost.
+	lostTime = 5 * time.Second
 	// reportAge is how long a load report is used as a hint.
 	reportAge = 3 * time.Second
 )
@@ -65,6 +67,26 @@
 	ReportedAt atomic.Int64
 	// Runs counts the parts sent.
 	Runs atomic.Int64
+	// Lost is the snapshot that the server last said it does not hold.
+	Lost atomic.Pointer[LostSnapshot]
+}
+
+// LostSnapshot is a snapshot that a server does not hold.
+type LostSnapshot struct {
+	ID string
+	// Until is when the server is asked for it again.
+	Until time.Time
+}
+
+// Lose records that the server does not hold a snapshot.
+func (st *ServerState) Lose(now time.Time, id string) {
+	st.Lost.Store(&LostSnapshot{ID: id, Until: now.Add(lostTime)})
+}
+
+// Holds reports whether the server may hold a snapshot.
+func (st *ServerState) Holds(now time.Time, id string) bool {
+	lost := st.Lost.Load()
+	return lost == nil || lost.ID != id || now.After(lost.Until)
 }
 
 // CurrentLimit returns the in-flight limit in requests, at least 1.
--- a/internal/world/snapshot/snapshot.go
+++ b/internal/world/snapshot/snapshot.go
@@ -76,8 +76,8 @@
 
 // Pin chooses the newest snapshot for which each shard has an eligible replica,
 // else the newest of those that cover most. Snapshots for which skip reports
-// true are passed over.
-func (cl *Collection) Pin(skip func(id string) bool, eligible func(sv string) bool) (*Manifest, error) {
+// true are passed over; eligible is asked for a server and a snapshot.
+func (cl *Collection) Pin(skip func(id string) bool, eligible func(server, id string) bool) (*Manifest, error) {
 	var best *Manifest
 	var bestCovered float64
 	for _, mf := range cl.Manifests {
@@ -98,10 +98,10 @@
 	return best, nil
 }
 
-func (mf *Manifest) covered(eligible func(sv string) bool) int {
+func (mf *Manifest) covered(eligible func(server, id string) bool) int {
 	covered := 0
 	for _, sh := range mf.Shards {
-		if slices.ContainsFunc(sh.Replicas, eligible) {
+		if slices.ContainsFunc(sh.Replicas, func(server string) bool { return eligible(server, mf.ID) }) {
 			covered++
 		}
 	}
