Prove at most one run, and give failed claims up

Cause, seen by TestRunsAtMostOnce: an attempt whose claim had an open fate left the claim open, so that a resend was told unknown for good although the request never ran. Ruled out: telling not_run at once; the write of the claim may still be on its way, and an earlier send may have run.

--- a/internal/node/entryvm/answers_test.go
+++ b/internal/node/entryvm/answers_test.go
@@ -130,6 +130,8 @@
 		{"a service answers from another snapshot", 1, false, server.Faults{OtherSnapshot: "2025-01-01"}, 27},
 		{"one server swaps answers", 0, true, server.Faults{SwapAnswers: true}, 30},
 		{"two services swap answers", 2, false, server.Faults{SwapAnswers: true}, 24},
+		{"one server swaps shards", 0, true, server.Faults{SwapShards: true}, 30},
+		{"one server corrupts", 0, true, server.Faults{Corrupt: true}, 30},
 		{"one server truncates", 0, true, server.Faults{Truncate: true}, 30},
 		{"a service truncates", 1, false, server.Faults{Truncate: true}, 27},
 		{"one server answers late", 0, true, server.Faults{Late: true}, 30},
--- a/internal/peer/caller/client.go
+++ b/internal/peer/caller/client.go
@@ -33,6 +33,8 @@
 	// entries is what was last answered, to be kept until keepUntil.
 	entries   []callerapi.Entry
 	keepUntil time.Time
+	// only is set when entries is never asked for again.
+	only bool
 }
 
 // NewClient returns a caller in a zone that knows some caller addresses.
@@ -91,7 +93,7 @@
 // too old.
 func (cl *Client) Entries(ctx context.Context, now time.Time) ([]callerapi.Entry, error) {
 	cl.lock.Lock()
-	known, fresh := cl.entries, now.Before(cl.keepUntil)
+	known, fresh := cl.entries, cl.only || now.Before(cl.keepUntil)
 	cl.lock.Unlock()
 	if fresh && len(known) > 0 {
 		return known, nil
@@ -116,6 +118,14 @@
 	return nil, fmt.Errorf("find the entries: %w", lastErr)
 }
 
+// Only makes the client use one address for good, without asking for entries.
+func (cl *Client) Only(address string) {
+	cl.lock.Lock()
+	defer cl.lock.Unlock()
+	cl.entries = []callerapi.Entry{{Name: address, Address: address}}
+	cl.only = true
+}
+
 func (cl *Client) ask(ctx context.Context, address string) (*callerapi.Entries, error) {
 	ac, err := cl.connect(address)
 	if err != nil {
--- a/internal/peer/platform/claims.go
+++ b/internal/peer/platform/claims.go
@@ -103,8 +103,10 @@
 	case errors.Is(err, errTaken):
 		return takenRefusal(taken)
 	default:
-		return contract.Refuse(contract.Unknown, contract.CodePlatformDown,
+		refusal := contract.Refuse(contract.Unknown, contract.CodePlatformDown,
 			"this send did not run, but the platform does not tell whether an earlier one of the same request did: %v", err)
+		refusal.Err = contract.ErrFateOpen
+		return refusal
 	}
 }
 
@@ -134,6 +136,24 @@
 	return nil
 }
 
+// Abandon is of request.Claims.
+func (cs *Claims) Abandon(ctx context.Context, now time.Time, id uuid.UUID, attempt string) error {
+	key, err := contract.ClaimKey(now, id)
+	if err != nil {
+		return err
+	}
+	var taken contract.Claim
+	err = cs.submit(ctx, key, func(cb contract.ClaimBucket) (bool, error) {
+		changed, have := cb.Abandon(now, id.String(), attempt, cs.name)
+		if have.Attempt != "" {
+			taken = have
+			return false, errTaken
+		}
+		return changed, nil
+	})
+	return refusalOf(err, taken)
+}
+
 // Look is of request.Claims.
 func (cs *Claims) Look(ctx context.Context, now time.Time, id uuid.UUID) error {
 	key, err := contract.ClaimKey(now, id)
--- a/internal/query/request/once.go
+++ b/internal/query/request/once.go
@@ -49,6 +49,9 @@
 	claimCtx, cancel := context.WithDeadline(ctx, sv.answerBy(rn))
 	err := sv.Claims.Claim(claimCtx, time.Now(), rn.call.ID, rn.attempt)
 	cancel()
+	if errors.Is(err, contract.ErrFateOpen) {
+		return sv.abandon(rn, err)
+	}
 	if err != nil {
 		return sv.recorded(rn, err)
 	}
@@ -75,6 +78,28 @@
 		"no server ran the request (%s)", lastCause(an)))
 }
 
+// abandon ends a call whose claim has an open fate. What can't be settled in a
+// moment is settled after the caller was told that the fate is unknown.
+func (sv *Service) abandon(rn *run, cause error) (*Reply, error) {
+	settled := make(chan error, 1)
+	sv.settling.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), settleTime)
+		defer cancel()
+		settled <- sv.Claims.Abandon(ctx, time.Now(), rn.call.ID, rn.attempt)
+	})
+	timer := time.NewTimer(lookTime)
+	defer timer.Stop()
+	select {
+	case err := <-settled:
+		if err != nil {
+			return sv.recorded(rn, err)
+		}
+		return nil, contract.Refuse(contract.NotRun, contract.CodeClaimLost, "the request could not be claimed before its deadline")
+	case <-timer.C:
+		return nil, cause
+	}
+}
+
 func (sv *Service) stillInTime(rn *run) error {
 	now := time.Now()
 	if !now.Before(sv.answerBy(rn)) {
--- a/internal/query/request/service.go
+++ b/internal/query/request/service.go
@@ -50,6 +50,10 @@
 	Claim(ctx context.Context, now time.Time, id uuid.UUID, attempt string) error
 	// Settle records the end of an attempt that holds the claim.
 	Settle(ctx context.Context, id uuid.UUID, attempt string, state contract.ClaimState, answer json.RawMessage) error
+	// Abandon makes sure that an attempt whose claim failed can never run, and
+	// that its claim does not stand in the way of a resend. Its error is a
+	// *contract.Refusal when another attempt ran or may have run.
+	Abandon(ctx context.Context, now time.Time, id uuid.UUID, attempt string) error
 	// Look tells what is known of a request without claiming it. Its error is
 	// a *contract.Refusal when the request ran, may have run or can't be read.
 	Look(ctx context.Context, now time.Time, id uuid.UUID) error
--- a/internal/standin/server/server.go
+++ b/internal/standin/server/server.go
@@ -4,6 +4,7 @@
 package server
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -56,8 +57,12 @@
 	Straggle float64 `json:"straggle"`
 	// CrashOn ends the server when a query contains it.
 	CrashOn string `json:"crash_on"`
-	// SwapAnswers answers each part as if it were another request's.
+	// SwapAnswers answers each part with the answer to another request, and
+	// SwapShards with the answer of another shard.
 	SwapAnswers bool `json:"swap_answers"`
+	SwapShards  bool `json:"swap_shards"`
+	// Corrupt changes a byte of the answers' bodies.
+	Corrupt bool `json:"corrupt"`
 	// Truncate cuts the answers' bodies short.
 	Truncate bool `json:"truncate"`
 	// LoseSnapshot names a snapshot that is not held any more.
@@ -261,13 +266,20 @@
 	if faults.OtherSnapshot != "" {
 		snapshot = faults.OtherSnapshot
 	}
-	body := Body(snapshot, pt.Shard, pt.Query)
+	request, shard, query := pt.RequestID, pt.Shard, pt.Query
+	if faults.SwapAnswers {
+		request, query = "another-request", []byte(`"another query"`)
+	}
+	if faults.SwapShards {
+		shard = "another-shard"
+	}
+	body := Body(snapshot, shard, query)
 	an := &backendapi.PartAnswer{
-		RequestID: pt.RequestID, Attempt: pt.Attempt, Shard: pt.Shard, Snapshot: snapshot,
+		RequestID: request, Attempt: pt.Attempt, Shard: shard, Snapshot: snapshot,
 		Length: len(body), Digest: backend.Digest(body), Draining: faults.Drain, Body: body,
 	}
-	if faults.SwapAnswers {
-		an.RequestID = "another-request"
+	if faults.Corrupt {
+		an.Body = bytes.Replace(body, []byte("shard-0"), []byte("shard-9"), 1)
 	}
 	if faults.Truncate {
 		an.Body = []byte(`"cut"`)
--- a/internal/world/contract/claim.go
+++ b/internal/world/contract/claim.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"strconv"
 	"time"
@@ -60,6 +61,9 @@
 	Claims map[string]Claim `json:"claims"`
 }
 
+// ErrFateOpen says that it is not known whether a claim took effect.
+var ErrFateOpen = errors.New("it is not known whether the claim took effect")
+
 // ClaimVerdict says what a bucket means for an attempt.
 type ClaimVerdict int
 
@@ -89,6 +93,22 @@
 	}
 }
 
+// Abandon records that an attempt never runs, whether or not its claim stands
+// yet: a claim of it that is still on its way to the platform will find the
+// bucket changed. It returns the claim of another attempt that ran or may have
+// run.
+func (cb ClaimBucket) Abandon(now time.Time, request, attempt, entryVM string) (changed bool, taken Claim) {
+	verdict, have := cb.Judge(request, attempt)
+	if verdict == ClaimTaken {
+		return false, have
+	}
+	if verdict == ClaimMine && have.State != ClaimOpen {
+		return false, Claim{}
+	}
+	cb.Claims[request] = Claim{Attempt: attempt, EntryVM: entryVM, State: ClaimNotRun, At: now}
+	return true, Claim{}
+}
+
 // Settle records the end of an attempt and reports whether that changed the
 // bucket. A claim of another attempt stays as it is.
 func (cb ClaimBucket) Settle(request, attempt string, state ClaimState, answer json.RawMessage) bool {
--- a/internal/world/contract/outcome.go
+++ b/internal/world/contract/outcome.go
@@ -56,6 +56,13 @@
 	Code    Code
 	// Reason is one sentence.
 	Reason string
+	// Err is what lies under the refusal; it may be nil.
+	Err error
+}
+
+// Unwrap returns what lies under the refusal.
+func (rf *Refusal) Unwrap() error {
+	return rf.Err
 }
 
 // Error returns the code and the reason.
