Prove that not_run means it did not run

Each way to refuse is provoked and the servers' runs are counted; a request whose earlier send is open is never told not_run. A deadline that is over at the start is now refused as not_run in place of unknown: before, such a request reached the scatter, which can't prove for idempotent parts that none was sent.

--- a/internal/node/entryvm/answers_test.go
+++ b/internal/node/entryvm/answers_test.go
@@ -9,7 +9,6 @@
 	"testing"
 	"time"
 
-	"github.com/google/uuid"
 	"gotest.tools/v3/assert"
 
 	"daisystage.example/daisystage/internal/peer/caller"
@@ -71,7 +70,7 @@
 			}
 			query := fmt.Sprintf(`{"text":"%s %d"}`, route, at)
 			sm.work.Go(func() {
-				rs, err := client.Query(t.Context(), st.Plan.Team, route, uuid.Must(uuid.NewV7()), []byte(query), 0)
+				rs, err := client.Query(t.Context(), st.Plan.Team, route, newID(), []byte(query), 0)
 				sm.lock.Lock()
 				defer sm.lock.Unlock()
 				sm.results = append(sm.results, streamed{rs, query, err})
@@ -190,7 +189,7 @@
 		time.Sleep(time.Second)
 		client, _ := st.Caller()
 		query := `{"text":"Jonah"}`
-		rs, err := client.Query(t.Context(), st.Plan.Team, "find", uuid.Must(uuid.NewV7()), []byte(query), 0)
+		rs, err := client.Query(t.Context(), st.Plan.Team, "find", newID(), []byte(query), 0)
 		assert.NilError(t, err)
 		checkAnswer(t, map[string]*snapshot.Manifest{older.ID: older, newer.ID: newer}, query, rs)
 		assert.Equal(t, rs.Answer.Snapshot, older.ID)
@@ -243,7 +242,7 @@
 		sm := startStream(t, st, "find", 30*time.Millisecond)
 		for at := range 50 {
 			ctx, cancel := context.WithTimeout(t.Context(), time.Duration(at%20)*time.Millisecond)
-			_, _ = impatient.Query(ctx, st.Plan.Team, "find", uuid.Must(uuid.NewV7()), []byte(`{"text":"impatient"}`), 0)
+			_, _ = impatient.Query(ctx, st.Plan.Team, "find", newID(), []byte(`{"text":"impatient"}`), 0)
 			cancel()
 		}
 		for _, rs := range sm.end() {
--- /dev/null
+++ b/internal/node/entryvm/refusals_test.go
@@ -0,0 +1,241 @@
+package entryvm_test
+
+import (
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"gotest.tools/v3/assert"
+
+	"daisystage.example/daisystage/internal/peer/caller"
+	"daisystage.example/daisystage/internal/standin/platform"
+	"daisystage.example/daisystage/internal/standin/server"
+	"daisystage.example/daisystage/internal/standin/site"
+	"daisystage.example/daisystage/internal/world/contract"
+)
+
+// runsOf counts the runs of a request at all servers.
+func runsOf(st *site.Site, id uuid.UUID) int {
+	total := 0
+	for _, un := range st.Servers {
+		for key, count := range un.Runs() {
+			if strings.HasPrefix(key, id.String()) {
+				total += count
+			}
+		}
+	}
+	return total
+}
+
+func allServers(faults server.Faults) func(*testing.T, *site.Site) {
+	return func(_ *testing.T, st *site.Site) {
+		for _, un := range st.Servers {
+			un.Set(faults)
+		}
+	}
+}
+
+// occupy keeps requests in flight until the test ends.
+func occupy(t *testing.T, st *site.Site, route string, count int) {
+	t.Helper()
+	client, _ := st.Caller()
+	var sends sync.WaitGroup
+	for range count {
+		sends.Go(func() {
+			_, _ = client.Query(t.Context(), st.Plan.Team, route, newID(), []byte(`{"text":"occupied"}`), 0)
+		})
+	}
+	t.Cleanup(sends.Wait)
+	time.Sleep(50 * time.Millisecond)
+}
+
+func limit(body string) func(*testing.T, *site.Site) {
+	return func(t *testing.T, st *site.Site) {
+		_, err := st.PutSetting(t.Context(), time.Now(), contract.LimitsPath(st.Plan.Team), body)
+		assert.NilError(t, err)
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// TestNotRunDidNotRun provokes each way to refuse a request. Whatever is told
+// as not_run must not run, also later.
+func TestNotRunDidNotRun(t *testing.T) {
+	platformDown := func(_ *testing.T, st *site.Site) { st.Store.Set(platform.Faults{Down: true}) }
+	tests := []struct {
+		name     string
+		entryVMs int
+		before   func(*testing.T, *site.Site)
+		deadline time.Duration
+		// find and save are the outcomes and codes of an idempotent request
+		// and of one that is not; empty is an answer.
+		find, save string
+	}{
+		{
+			name: "the team's queue is full",
+			before: func(t *testing.T, st *site.Site) {
+				limit("max_in_flight = 1\nmax_queued = 0\n")(t, st)
+				allServers(server.Faults{Straggle: 50})(t, st)
+				occupy(t, st, "find", 3)
+			},
+			find: "not_run queue_full",
+			// Each route's collection has one gate, so the team's limit holds
+			// for both.
+			save: "not_run queue_full",
+		},
+		{
+			name: "the deadline is too short", deadline: time.Millisecond,
+			find: "not_run deadline_hopeless", save: "not_run deadline_hopeless",
+		},
+		{
+			name: "the deadline passes in the queue", deadline: 100 * time.Millisecond,
+			before: func(t *testing.T, st *site.Site) {
+				limit("max_in_flight = 1\nmax_queued = 10\n")(t, st)
+				allServers(server.Faults{Straggle: 50})(t, st)
+				occupy(t, st, "find", 3)
+			},
+			find: "not_run deadline_hopeless", save: "not_run deadline_hopeless",
+		},
+		{
+			name: "all servers shed", before: allServers(server.Faults{Shed: true}),
+			find: "not_run no_server", save: "not_run server_refused",
+		},
+		{
+			name: "all servers drain", before: allServers(server.Faults{Drain: true}),
+			find: "not_run no_server", save: "not_run server_refused",
+		},
+		{
+			name: "no server listens",
+			before: func(_ *testing.T, st *site.Site) {
+				for _, un := range st.Servers {
+					un.Kill()
+				}
+				// Links that break are noticed at the next use.
+				time.Sleep(time.Minute)
+			},
+			find: "not_run no_server", save: "not_run server_refused",
+		},
+		{
+			name: "all servers lost the snapshot", before: allServers(server.Faults{LoseSnapshot: site.FirstSnapshot}),
+			find: "not_run no_server", save: "not_run server_refused",
+		},
+		{
+			name: "the platform is down for a moment", before: platformDown,
+			find: "", save: "unknown platform_down",
+		},
+		{
+			name: "the platform is down for long", before: func(t *testing.T, st *site.Site) {
+				platformDown(t, st)
+				time.Sleep(time.Minute)
+			},
+			find: "", save: "unknown platform_down",
+		},
+		{
+			name: "the only entry VM is cut off from the platform", entryVMs: 1,
+			before: func(t *testing.T, st *site.Site) {
+				platformDown(t, st)
+				time.Sleep(10 * time.Second)
+			},
+			find: "not_run isolated", save: "unknown platform_down",
+		},
+		{
+			name: "the request was quarantined",
+			before: func(t *testing.T, st *site.Site) {
+				now := time.Now()
+				for at := range st.Configs {
+					ps := st.EntryVM(at)
+					for _, route := range []string{"find", "save"} {
+						print := contract.Fingerprint(contract.RoutePath(st.Plan.Team, route), []byte(`{"text":"refused"}`))
+						ps.Quarantine.Crashed(now, print, "one")
+						ps.Quarantine.Crashed(now, print, "two")
+					}
+				}
+			},
+			find: "not_run quarantined", save: "not_run quarantined",
+		},
+		{
+			name: "servers break the link after they got the request", before: allServers(server.Faults{CrashOn: "refused"}),
+			find: "unknown no_answer", save: "unknown no_answer",
+		},
+		{
+			name: "servers never answer", before: allServers(server.Faults{Straggle: 1e6}),
+			find: "unknown no_answer", save: "unknown no_answer",
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			plan := site.Gaisma()
+			if tt.entryVMs > 0 {
+				plan.EntryVMs = tt.entryVMs
+			}
+			inSite(t, plan, func(t *testing.T, st *site.Site) {
+				if tt.before != nil {
+					tt.before(t, st)
+				}
+				client, _ := st.Caller()
+				client.Only(st.Configs[0].CallerAddress)
+				var refused []uuid.UUID
+				for route, want := range map[string]string{"find": tt.find, "save": tt.save} {
+					id := newID()
+					rs, err := client.Query(t.Context(), plan.Team, route, id, []byte(`{"text":"refused"}`), tt.deadline)
+					assert.NilError(t, err)
+					assert.Equal(t, told(rs), want, "%s: %+v", route, rs.Refusal)
+					if rs.Outcome() == contract.NotRun {
+						refused = append(refused, id)
+					}
+				}
+				time.Sleep(10 * time.Second)
+				for _, id := range refused {
+					assert.Equal(t, runsOf(st, id), 0)
+				}
+			})
+		})
+	}
+}
+
+func told(rs caller.Result) string {
+	if rs.Refusal == nil {
+		return ""
+	}
+	return string(rs.Refusal.Outcome) + " " + rs.Refusal.Code
+}
+
+// TestRefusalAfterOpenSend sends a request whose earlier send is open, in each
+// state in which a new request would be refused as not_run.
+func TestRefusalAfterOpenSend(t *testing.T) {
+	tests := []struct {
+		name     string
+		before   func(*testing.T, *site.Site)
+		deadline time.Duration
+	}{
+		{"nothing else is wrong", func(*testing.T, *site.Site) {}, 0},
+		{"the deadline is too short", func(*testing.T, *site.Site) {}, time.Millisecond},
+		{"the team may run nothing", func(t *testing.T, st *site.Site) {
+			limit("max_in_flight = 1\nmax_queued = 0\n")(t, st)
+			occupy(t, st, "find", 3)
+		}, 0},
+		{"the platform is down", func(_ *testing.T, st *site.Site) {
+			st.Store.Set(platform.Faults{Down: true})
+		}, 0},
+		{"all servers shed", allServers(server.Faults{Shed: true}), 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			inSite(t, site.Gaisma(), func(t *testing.T, st *site.Site) {
+				allServers(server.Faults{Straggle: 1e6})(t, st)
+				client, _ := st.Caller()
+				id := newID()
+				body := []byte(`{"plan":"Jonah"}`)
+				first, err := client.Query(t.Context(), st.Plan.Team, "save", id, body, 200*time.Millisecond)
+				assert.NilError(t, err)
+				assert.Equal(t, told(first), "unknown no_answer")
+				tt.before(t, st)
+				again, err := client.Query(t.Context(), st.Plan.Team, "save", id, body, tt.deadline)
+				assert.NilError(t, err)
+				assert.Equal(t, string(again.Outcome()), "unknown", "%+v", again.Refusal)
+				assert.Equal(t, runsOf(st, id), 1)
+			})
+		})
+	}
+}
--- a/internal/node/entryvm/site_test.go
+++ b/internal/node/entryvm/site_test.go
@@ -34,11 +34,23 @@
 	})
 }
 
+// newID returns a UUID of version 7 by the virtual clock. The library keeps the
+// latest time that it saw across tests, whose clocks all start anew.
+func newID() uuid.UUID {
+	id := uuid.New()
+	millis := time.Now().UnixMilli()
+	for i := range 6 {
+		id[i] = byte(millis >> (40 - 8*i))
+	}
+	id[6] = id[6]&0x0f | 0x70
+	return id
+}
+
 // ask sends one request with a body of its own.
 func ask(t *testing.T, st *site.Site, client *caller.Client, route string, number int) caller.Result {
 	t.Helper()
 	body := fmt.Sprintf(`{"text":"lesson %d"}`, number)
-	rs, err := client.Query(t.Context(), st.Plan.Team, route, uuid.Must(uuid.NewV7()), []byte(body), 0)
+	rs, err := client.Query(t.Context(), st.Plan.Team, route, newID(), []byte(body), 0)
 	assert.NilError(t, err)
 	return rs
 }
--- a/internal/query/request/once.go
+++ b/internal/query/request/once.go
@@ -56,7 +56,7 @@
 		return sv.recorded(rn, err)
 	}
 	// The process may have been paused while it claimed.
-	if err := sv.stillInTime(rn); err != nil {
+	if err := sv.permit(time.Now(), rn); err != nil {
 		return nil, sv.settle(rn, contract.ClaimNotRun, nil, err)
 	}
 	// A caller that hangs up must not leave the claim open.
@@ -100,14 +100,6 @@
 	}
 }
 
-func (sv *Service) stillInTime(rn *run) error {
-	now := time.Now()
-	if !now.Before(sv.answerBy(rn)) {
-		return contract.Refuse(contract.NotRun, contract.CodeDeadlineHopeless, "the deadline passed before the request was sent")
-	}
-	return sv.permit(now, rn)
-}
-
 func stateOf(an scatter.Answer) contract.ClaimState {
 	if an.MayHaveRun {
 		return contract.ClaimUnknown
--- a/internal/query/request/service.go
+++ b/internal/query/request/service.go
@@ -178,6 +178,9 @@
 
 // permit refuses calls that may not run now.
 func (sv *Service) permit(now time.Time, rn *run) error {
+	if !now.Before(sv.answerBy(rn)) {
+		return contract.Refuse(contract.NotRun, contract.CodeDeadlineHopeless, "the deadline passed before the request was sent")
+	}
 	if sv.Quarantine.Bars(now, rn.print) {
 		return contract.Refuse(contract.NotRun, contract.CodeQuarantined,
 			"requests with this body were running when several servers were lost")
