Choose the replica that is expected to answer first

The straggler's late answers counted as successes and raised its in-flight limit, so that it kept getting parts until the hedge budget ran out; and a part went to another zone, 8 ms away, as soon as the own zone's servers had both slots in use, where it would have waited 4 ms. Ruled out: the size of the budget; hedges were 1.6 to 2.9% of the parts, most of them spent while nothing was slow. Change: each server has a smoothed latency, rising fast, falling slowly and fading when unused; the replica with the least expected time is chosen. An unknown server counts as the slowest known one.

--- /dev/null
+++ b/internal/node/entryvm/measure_test.go
@@ -0,0 +1,234 @@
+package entryvm_test
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"gotest.tools/v3/assert"
+
+	"daisystage.example/daisystage/internal/query/scatter"
+	"daisystage.example/daisystage/internal/standin/network"
+	"daisystage.example/daisystage/internal/standin/server"
+	"daisystage.example/daisystage/internal/standin/site"
+)
+
+// figures are what one run measured at the callers.
+type figures struct {
+	p50, p99, p999 time.Duration
+	// coverage is of all queries, 0 for those without an answer.
+	coverage float64
+	whole    float64
+	refused  float64
+	// extra is the share of parts that servers ran beyond one for each shard
+	// of each query that was not refused.
+	extra         float64
+	platformCalls int64
+	// wrong counts answers whose coverage or content was not true.
+	wrong int
+}
+
+func (fg figures) String() string {
+	ms := func(took time.Duration) float64 { return float64(took.Microseconds()) / 1000 }
+	return fmt.Sprintf("| %.1f | %.1f | %.1f | %.4f | %.3f | %.3f | %+.2f%% | %d |",
+		ms(fg.p50), ms(fg.p99), ms(fg.p999), fg.coverage, fg.whole, fg.refused, 100*fg.extra, fg.platformCalls)
+}
+
+// scenario is one measured situation.
+type scenario struct {
+	name string
+	// rate is in queries a second, for the time of length.
+	rate   int
+	length time.Duration
+	// set provokes the situation after the warm-up.
+	set func(st *site.Site)
+	// plan changes the plan before the start.
+	plan func(plan *site.Plan)
+}
+
+func oneStraggler(st *site.Site) {
+	st.Servers[st.Plan.ServerNames(0)[0]].Set(server.Faults{Straggle: 20})
+}
+
+func slowZone(zone int, factor float64) func(*site.Site) {
+	return func(st *site.Site) {
+		for service := range st.Plan.Services {
+			st.Servers[st.Plan.ServerNames(service)[zone]].Set(server.Faults{Straggle: factor})
+		}
+	}
+}
+
+func allSlow(factor float64) func(*site.Site) {
+	return func(st *site.Site) {
+		for _, un := range st.Servers {
+			un.Set(server.Faults{Straggle: factor})
+		}
+	}
+}
+
+func lossyLinks(st *site.Site) {
+	nw := st.Places.(*site.Memory).Network
+	zones := st.Plan.Zones
+	for i, one := range zones {
+		for _, two := range zones[i+1:] {
+			nw.SetPath(one, two, network.Path{Delay: st.Plan.ZoneDelay, Jitter: st.Plan.ZoneDelay / 2, Loss: 0.02})
+		}
+		nw.SetPath(one, one, network.Path{Delay: st.Plan.ZoneDelay / 20, Loss: 0.001})
+	}
+}
+
+// useNaive makes all entry VMs ask the first replica, wait for all, and never
+// ask again.
+func useNaive(st *site.Site) {
+	for at := range st.Configs {
+		ps := st.EntryVM(at)
+		ps.Service.Scatter = &scatter.Query[scatter.FirstReplica, scatter.NoHedge]{Sender: ps.Backend, Quarantine: ps.Quarantine}
+	}
+}
+
+// measure runs a scenario at a user's size.
+func measure(t *testing.T, plan site.Plan, sc scenario, naive bool) figures {
+	t.Helper()
+	var fg figures
+	if naive {
+		plan.Routes["find"] += "canary = false\nretry_share = 0.0\n"
+	}
+	if sc.plan != nil {
+		sc.plan(&plan)
+	}
+	inSite(t, plan, func(t *testing.T, st *site.Site) {
+		if naive {
+			useNaive(st)
+		}
+		warmUp(t, st)
+		if sc.set != nil {
+			sc.set(st)
+			// What a policy learns of the situation is part of its steady
+			// state.
+			time.Sleep(200 * time.Millisecond)
+		}
+		runsBefore, callsBefore := totalRuns(st), st.Store.Calls.Load()
+		fg = load(t, st, sc)
+		fg.platformCalls = st.Store.Calls.Load() - callsBefore
+		asked := float64(sc.rate) * sc.length.Seconds() * (1 - fg.refused) * float64(plan.Shards)
+		fg.extra = float64(totalRuns(st)-runsBefore)/asked - 1
+	})
+	return fg
+}
+
+func totalRuns(st *site.Site) int {
+	total := 0
+	for _, un := range st.Servers {
+		total += un.Total()
+	}
+	return total
+}
+
+// load sends queries at a fixed pace, whatever the answers.
+func load(t *testing.T, st *site.Site, sc scenario) figures {
+	t.Helper()
+	client, _ := st.Caller()
+	latency := hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)
+	mf := st.Plan.Manifest(site.FirstSnapshot)
+	var fg figures
+	var lock sync.Mutex
+	var sends sync.WaitGroup
+	count := int(float64(sc.rate) * sc.length.Seconds())
+	for at := range count {
+		sends.Go(func() {
+			query := fmt.Sprintf(`{"text":"%s %d"}`, sc.name, at)
+			rs, err := client.Query(t.Context(), st.Plan.Team, "find", newID(), []byte(query), 0)
+			lock.Lock()
+			defer lock.Unlock()
+			assert.Check(t, latency.RecordValue(rs.Took.Microseconds()))
+			switch {
+			case err != nil:
+			case rs.Refusal != nil:
+				if rs.Refusal.Outcome == "not_run" {
+					fg.refused++
+				}
+			default:
+				share := float64(rs.Answer.Coverage.Answered) / float64(rs.Answer.Coverage.Total)
+				fg.coverage += share
+				if share == 1 {
+					fg.whole++
+				}
+				if len(rs.Answer.Parts) != rs.Answer.Coverage.Answered || rs.Answer.Coverage.Total != len(mf.Shards) {
+					fg.wrong++
+				}
+				for _, pt := range rs.Answer.Parts {
+					if string(pt.Body) != string(server.Body(mf.ID, pt.Shard, []byte(query))) {
+						fg.wrong++
+					}
+				}
+			}
+		})
+		time.Sleep(time.Second / time.Duration(sc.rate))
+	}
+	sends.Wait()
+	fg.coverage /= float64(count)
+	fg.whole /= float64(count)
+	fg.refused /= float64(count)
+	at := func(q float64) time.Duration { return time.Duration(latency.ValueAtQuantile(q)) * time.Microsecond }
+	fg.p50, fg.p99, fg.p999 = at(50), at(99), at(99.9)
+	return fg
+}
+
+// TestStragglerWithinBudget holds the targets for one straggler: p99 at most
+// 1.5 times the quiet one, extra load at most 3%.
+func TestStragglerWithinBudget(t *testing.T) {
+	for _, plan := range []func() site.Plan{site.Gaisma, site.Karaca} {
+		t.Run(plan().Team, func(t *testing.T) {
+			quiet := measure(t, plan(), scenario{name: "quiet", rate: 60, length: 10 * time.Second}, false)
+			straggler := measure(t, plan(), scenario{name: "straggler", rate: 60, length: 10 * time.Second, set: oneStraggler}, false)
+			naive := measure(t, plan(), scenario{name: "straggler", rate: 60, length: 10 * time.Second, set: oneStraggler}, true)
+			t.Logf("quiet     %s", quiet)
+			t.Logf("straggler %s", straggler)
+			t.Logf("naive     %s", naive)
+			assert.Assert(t, straggler.p99 <= quiet.p99*3/2, "p99 %s and %s", straggler.p99, quiet.p99)
+			assert.Assert(t, straggler.extra <= 0.03, "extra load %.4f", straggler.extra)
+			assert.Assert(t, straggler.p99 < naive.p99, "p99 %s and naive %s", straggler.p99, naive.p99)
+			assert.Equal(t, quiet.wrong+straggler.wrong+naive.wrong, 0)
+		})
+	}
+}
+
+// TestMeasure prints the rows of docs/MEASUREMENTS.md. It runs on request, with
+// DAISYSTAGE_MEASURE set to a part of the scenarios' names or to "all".
+func TestMeasure(t *testing.T) {
+	chosen := os.Getenv("DAISYSTAGE_MEASURE")
+	if chosen == "" {
+		t.Skip("DAISYSTAGE_MEASURE is not set")
+	}
+	const length = 10 * time.Second
+	scenarios := []scenario{
+		{name: "quiet", rate: 100, length: length},
+		{name: "one straggler, 20 times", rate: 100, length: length, set: oneStraggler},
+		{name: "one zone 5 times slower", rate: 100, length: length, set: slowZone(0, 5)},
+		{name: "all 3 times slower", rate: 100, length: length, set: allSlow(3)},
+		{name: "lossy links", rate: 100, length: length, set: lossyLinks},
+		{name: "overload, 1.5 times the slots", rate: 750, length: 5 * time.Second},
+		{name: "overload, 3 times the slots", rate: 1500, length: 3 * time.Second},
+	}
+	for _, sc := range scenarios {
+		if chosen != "all" && !strings.Contains(sc.name, chosen) {
+			continue
+		}
+		for _, plan := range []func() site.Plan{site.Gaisma, site.Karaca} {
+			fmt.Printf("| %s | %s | naive %s\n", plan().Team, sc.name, measure(t, plan(), sc, true))
+			fmt.Printf("| %s | %s | daisystage %s\n", plan().Team, sc.name, measure(t, plan(), sc, false))
+			for _, variant := range strings.Split(os.Getenv("DAISYSTAGE_VARIANTS"), ";") {
+				if variant == "" {
+					continue
+				}
+				changed := sc
+				changed.plan = func(plan *site.Plan) { plan.Routes["find"] += variant + "\n" }
+				fmt.Printf("| %s | %s | daisystage, %s %s\n", plan().Team, sc.name, variant, measure(t, plan(), changed, false))
+			}
+		}
+	}
+}
--- a/internal/node/entryvm/process.go
+++ b/internal/node/entryvm/process.go
@@ -169,7 +169,7 @@
 	ps.Service = &request.Service{
 		Name: ps.Config.Name, Zone: ps.Config.Zone,
 		Views: ps.Views, Confirmation: ps.Confirmation, Quarantine: ps.Quarantine,
-		Scatter: &scatter.Query[scatter.NearestIdle, scatter.QuantileHedge]{
+		Scatter: &scatter.Query[scatter.LeastExpected, scatter.QuantileHedge]{
 			Sender: ps.Backend, Zone: ps.zone(), Quarantine: ps.Quarantine, Crashed: ps.crashed,
 		},
 		Claims: claims, Receipts: ps.ring, Keep: ps.Receipts.Keep, Observer: &observer{ps.Metrics, ps.Log},
--- a/internal/query/scatter/gather.go
+++ b/internal/query/scatter/gather.go
@@ -228,15 +228,22 @@
 
 // learn takes the end of an attempt into the state of its server.
 func (ga *gather[R, H]) learn(now time.Time, sv *machine.Server, took time.Duration, err error) {
+	service := took - 2*ga.query.Zone.Delay(sv.Zone)
 	if err == nil {
 		sv.State.Succeeded(int64(sv.ConnectionLimit))
+		sv.State.Observe(now, service)
 		ga.rq.Setting.State.Latency.Record(took)
 		return
 	}
 	cause, _ := causeOf(err)
 	switch cause {
-	case contract.CauseShed, contract.CauseDeadline:
+	case contract.CauseCanceled:
+		sv.State.ObserveAtLeast(now, service)
+	case contract.CauseShed:
 		sv.State.Overloaded(now)
+	case contract.CauseDeadline:
+		sv.State.Overloaded(now)
+		sv.State.ObserveAtLeast(now, service)
 	case contract.CauseDraining:
 		sv.State.MarkLeaving(now)
 	case contract.CauseSnapshotLost:
--- a/internal/query/scatter/policy.go
+++ b/internal/query/scatter/policy.go
@@ -42,32 +42,55 @@
 	return 0, false
 }
 
-// NearestIdle prefers the own zone, within it the less loaded of two random
-// servers; other zones follow when those at hand are full. Servers that failed
-// a short while ago come last.
-type NearestIdle struct{}
-
-// Choose returns a replica in the nearest zone that has room for the part.
-func (NearestIdle) Choose(now time.Time, own zone.Zone, candidates []*machine.Server, avoid string) *machine.Server {
-	healthy := moveFirst(candidates, func(sv *machine.Server) bool { return !sv.State.Suspect(now) })
-	if healthy == 0 {
-		return machine.LessLoaded(now, candidates)
+// LeastExpected chooses the replica that is expected to answer first, by the way
+// there, its latency and its work. Servers that are full or failed a short while
+// ago come last; for a second attempt other zones come first.
+type LeastExpected struct{}
+
+// unknownLatency stands in for the latency of a server that has not answered
+// yet, while none of the candidates has.
+const unknownLatency = 5 * time.Millisecond
+
+// Choose returns the replica with the least expected time, the first by name on
+// a tie.
+func (LeastExpected) Choose(now time.Time, own zone.Zone, candidates []*machine.Server, avoid string) *machine.Server {
+	candidates = preferred(candidates, func(sv *machine.Server) bool { return !sv.State.Suspect(now) })
+	candidates = preferred(candidates, (*machine.Server).HasRoom)
+	if avoid != "" {
+		candidates = preferred(candidates, func(sv *machine.Server) bool { return sv.Zone != avoid })
+	}
+	unknown := unknownFor(candidates)
+	var best *machine.Server
+	var least time.Duration
+	for _, sv := range candidates {
+		expected := sv.Expected(now, unknown) + 2*own.Delay(sv.Zone)
+		if best == nil || expected < least || expected == least && sv.Name < best.Name {
+			best, least = sv, expected
+		}
 	}
-	candidates = candidates[:healthy]
-	roomy := moveFirst(candidates, func(sv *machine.Server) bool { return sv.HasRoom() && sv.Zone != avoid })
-	if roomy == 0 {
-		roomy = moveFirst(candidates, (*machine.Server).HasRoom)
+	return best
+}
+
+// unknownFor returns the latency to assume of servers that have not answered:
+// worse than any known one, so that they get work when the others have some.
+func unknownFor(candidates []*machine.Server) time.Duration {
+	slowest := time.Duration(0)
+	for _, sv := range candidates {
+		slowest = max(slowest, time.Duration(sv.State.LatencyNanos.Load()))
 	}
-	if roomy == 0 {
-		return machine.LessLoaded(now, candidates)
+	if slowest == 0 {
+		return unknownLatency
 	}
-	candidates = candidates[:roomy]
-	nearest := own.Delay(candidates[0].Zone)
-	for _, sv := range candidates[1:] {
-		nearest = min(nearest, own.Delay(sv.Zone))
+	return slowest
+}
+
+// preferred returns the servers that pass, all of them if none does.
+func preferred(servers []*machine.Server, pass func(*machine.Server) bool) []*machine.Server {
+	count := moveFirst(servers, pass)
+	if count == 0 {
+		return servers
 	}
-	near := moveFirst(candidates, func(sv *machine.Server) bool { return own.Delay(sv.Zone) == nearest })
-	return machine.LessLoaded(now, candidates[:near])
+	return servers[:count]
 }
 
 // moveFirst moves the servers that pass to the front and counts them.
--- a/internal/query/scatter/scatter_test.go
+++ b/internal/query/scatter/scatter_test.go
@@ -205,7 +205,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				fs := &fakeSender{answer: tt.answer}
-				qr := newQuery[NearestIdle, QuantileHedge](fs)
+				qr := newQuery[LeastExpected, QuantileHedge](fs)
 				rq := newRequest(time.Now(), newView(t, 4, tt.route, "s1"))
 				teach(rq, 10*time.Millisecond)
 				startedAt := time.Now()
@@ -237,7 +237,7 @@
 			}
 			return after(ctx, 5*time.Millisecond, pt)
 		}}
-		qr := newQuery[NearestIdle, QuantileHedge](fs)
+		qr := newQuery[LeastExpected, QuantileHedge](fs)
 		an, err := qr.Run(t.Context(), newRequest(time.Now(), newView(t, 4, findRoute, "s1", "s2")))
 		assert.NilError(t, err)
 		assert.Equal(t, an.Manifest.ID, "s1")
@@ -254,7 +254,7 @@
 		fs := &fakeSender{answer: func(context.Context, *machine.Server, Part) ([]byte, error) {
 			return nil, &contract.PartError{Cause: contract.CauseLinkBroken}
 		}}
-		qr := newQuery[NearestIdle, QuantileHedge](fs)
+		qr := newQuery[LeastExpected, QuantileHedge](fs)
 		vw := newView(t, 10, "class = \"urgent\"\ncollection = \"lessons\"\n", "s1")
 		lost := map[string]bool{}
 		for range 5 {
@@ -292,7 +292,7 @@
 			return bodies
 		}
 		naive := gatherWith(newQuery[FirstReplica, NoHedge](&fakeSender{answer: answer}).Run)
-		ours := gatherWith(newQuery[NearestIdle, QuantileHedge](&fakeSender{answer: answer}).Run)
+		ours := gatherWith(newQuery[LeastExpected, QuantileHedge](&fakeSender{answer: answer}).Run)
 		assert.Assert(t, slices.Equal(naive, ours))
 		assert.Equal(t, len(naive), 30)
 	})
@@ -301,7 +301,7 @@
 func BenchmarkChooseReplica(b *testing.B) {
 	now := time.Now()
 	fs := &fakeSender{}
-	qr := newQuery[NearestIdle, QuantileHedge](fs)
+	qr := newQuery[LeastExpected, QuantileHedge](fs)
 	rq := newRequest(now, newView(b, 30, findRoute, "s1"))
 	mf, err := qr.pin(rq, now, nil)
 	assert.NilError(b, err)
@@ -325,7 +325,7 @@
 	for _, shards := range []int{30, 150, 750} {
 		b.Run(fmt.Sprintf("shards=%d", shards), func(b *testing.B) {
 			vw := newView(b, shards, findRoute, "s1")
-			qr := newQuery[NearestIdle, QuantileHedge](&fakeSender{})
+			qr := newQuery[LeastExpected, QuantileHedge](&fakeSender{})
 			qr.Sender = nullSender{}
 			b.ReportAllocs()
 			for b.Loop() {
--- a/internal/world/machine/server.go
+++ b/internal/world/machine/server.go
@@ -3,7 +3,6 @@
 package machine
 
 import (
-	"math/rand/v2"
 	"sync/atomic"
 	"time"
 )
@@ -26,6 +25,22 @@
 	suspectTime = 2 * time.Second
 	// lostTime is how long a server is not asked for a snapshot that it lost.
 	lostTime = 5 * time.Second
+	// riseWeight and fallWeight are the weights of a new latency, in 1/100.
+	riseWeight = 30
+	fallWeight = 10
+	// shortestLatency keeps a known latency from looking unknown.
+	shortestLatency = time.Microsecond
+	// latencyHalfLife is the time in which an unused latency counts half.
+	latencyHalfLife = time.Second
+	// longestDecay bounds the halvings.
+	longestDecay = 6
+	// trialPenalty keeps all but one part from a server that is tried again.
+	trialPenalty = 16
+	// coldParts is the number of parts that a server gets at once before its
+	// first answer.
+	coldParts = 2
+	// reportShare is the part of the reported load of others that counts.
+	reportShare = 4
 	// reportAge is how long a load report is used as a hint.
 	reportAge = 3 * time.Second
 )
@@ -67,6 +82,11 @@
 	ReportedAt atomic.Int64
 	// Runs counts the parts sent.
 	Runs atomic.Int64
+	// LatencyNanos is the smoothed time of an answer without the way there and
+	// back; 0 is unknown.
+	LatencyNanos atomic.Int64
+	// LatencyAt is when LatencyNanos last changed, in Unix nanoseconds.
+	LatencyAt atomic.Int64
 	// Lost is the snapshot that the server last said it does not hold.
 	Lost atomic.Pointer[LostSnapshot]
 }
@@ -158,37 +178,57 @@
 	return sv.State.InFlight.Load() < sv.State.CurrentLimit()
 }
 
-// Pressure returns the work at the server against its limit, in 1/1000. The
-// reported load counts for a quarter while it is fresh.
-func (sv *Server) Pressure(now time.Time) int64 {
-	st := sv.State
-	load := st.InFlight.Load() * 4
-	if now.UnixNano()-st.ReportedAt.Load() < int64(reportAge) {
-		load += st.ReportedLoad.Load() - st.InFlight.Load()
+// Observe takes the time of one answer into the smoothed latency. Rises count
+// more than falls, so that a server that became slow is avoided at once.
+func (st *ServerState) Observe(now time.Time, took time.Duration) {
+	took = max(took, shortestLatency)
+	old := st.LatencyNanos.Load()
+	weight := int64(fallWeight)
+	if int64(took) > old {
+		weight = riseWeight
 	}
-	return max(load, 0) * limitUnit / 4 / st.CurrentLimit()
+	next := old + (int64(took)-old)*weight/100
+	if old == 0 {
+		next = int64(took)
+	}
+	// A lost race between two answers loses one of them.
+	st.LatencyNanos.CompareAndSwap(old, next)
+	st.LatencyAt.Store(now.UnixNano())
 }
 
-// LessLoaded returns the less loaded of two random servers, the first by name
-// on a tie; nil when there is none. It does not change its argument.
-func LessLoaded(now time.Time, servers []*Server) *Server {
-	switch len(servers) {
-	case 0:
-		return nil
-	case 1:
-		return servers[0]
+// ObserveAtLeast takes in an answer that was not waited for to its end.
+func (st *ServerState) ObserveAtLeast(now time.Time, took time.Duration) {
+	if int64(took) > st.LatencyNanos.Load() {
+		st.Observe(now, took)
 	}
-	at := rand.IntN(len(servers))
-	other := rand.IntN(len(servers) - 1)
-	if other >= at {
-		other++
+}
+
+// Expected returns the time that one more part would take at the server, from
+// its latency and its work against its slots. A latency that is old counts for
+// less, so that a server that was slow is tried again; while that trial is open
+// it gets no other part. unknown stands in for a latency that is not known.
+func (sv *Server) Expected(now time.Time, unknown time.Duration) time.Duration {
+	st := sv.State
+	inFlight := st.InFlight.Load()
+	latency := time.Duration(st.LatencyNanos.Load())
+	idle := time.Duration(now.UnixNano() - st.LatencyAt.Load())
+	switch {
+	case latency == 0 && inFlight >= coldParts:
+		return unknown * trialPenalty
+	case latency == 0:
+		latency = unknown
+	case idle > latencyHalfLife && inFlight > 0:
+		latency *= trialPenalty
+	case idle > latencyHalfLife:
+		latency >>= min(idle/latencyHalfLife, longestDecay)
 	}
-	one, two := servers[at], servers[other]
-	p1, p2 := one.Pressure(now), two.Pressure(now)
-	if p1 < p2 || p1 == p2 && one.Name < two.Name {
-		return one
+	load := inFlight
+	if now.UnixNano()-st.ReportedAt.Load() < int64(reportAge) {
+		// The report holds the work of other entry VMs, but is old.
+		load += max(st.ReportedLoad.Load()-inFlight, 0) / reportShare
 	}
-	return two
+	waiting := max(load+1-int64(sv.Slots), 0)
+	return latency + latency*time.Duration(waiting)/time.Duration(sv.Slots)
 }
 
 // ConnectionShare returns how many connections one of entryVMs processes may
--- a/internal/world/zone/zone.go
+++ b/internal/world/zone/zone.go
@@ -10,12 +10,12 @@
 type Zone struct {
 	// Name is not empty.
 	Name string
-	// Delays holds the one-way delay to other zones; a zone that is not
-	// listed counts as farther than all that are.
+	// Delays holds the one-way delay to other zones; one that is not listed
+	// counts as unknownDelay away.
 	Delays map[string]time.Duration
 }
 
-const unknownDelay = time.Hour
+const unknownDelay = 20 * time.Millisecond
 
 // Delay returns the one-way delay to another zone, zero for the own one.
 func (zn Zone) Delay(to string) time.Duration {
