--- a/internal/peer/entry/cluster.go
+++ b/internal/peer/entry/cluster.go
@@ -415,7 +415,11 @@
 	if !cr.PlatformDown() {
 		return
 	}
-	digest := cr.Views.Load().Digest
+	vw := cr.Views.Load()
+	if vw.Version == 0 {
+		return
+	}
+	digest := vw.Digest
 	known := *cr.members.Load()
 	agree, elsewhere := 1, false
 	for _, mb := range known {
--- a/internal/standin/network/network.go
+++ b/internal/standin/network/network.go
@@ -39,6 +39,8 @@
 	paths     map[[2]string]Path
 	// cut holds the zone pairs that are apart.
 	cut map[[2]string]bool
+	// open holds the inner ends of open connections with their zone pairs.
+	open map[net.Conn][2]string
 }
 
 // New returns a network whose random choices follow a seed.
@@ -48,6 +50,7 @@
 		listeners: map[string]*Listener{},
 		paths:     map[[2]string]Path{},
 		cut:       map[[2]string]bool{},
+		open:      map[net.Conn][2]string{},
 	}
 }
 
@@ -65,11 +68,28 @@
 	nw.paths[pair(one, two)] = path
 }
 
-// Cut separates two zones for new connections, or joins them again.
+// Cut separates two zones, or joins them again. Open connections break.
 func (nw *Network) Cut(one, two string, apart bool) {
 	nw.lock.Lock()
 	defer nw.lock.Unlock()
 	nw.cut[pair(one, two)] = apart
+	for cn, zones := range nw.open {
+		if apart && zones == pair(one, two) {
+			_ = cn.Close()
+		}
+	}
+}
+
+func (nw *Network) track(cn net.Conn, zones [2]string) {
+	nw.lock.Lock()
+	defer nw.lock.Unlock()
+	nw.open[cn] = zones
+}
+
+func (nw *Network) untrack(cn net.Conn) {
+	nw.lock.Lock()
+	defer nw.lock.Unlock()
+	delete(nw.open, cn)
 }
 
 // Listener accepts connections to one address. It is a net.Listener.
@@ -153,7 +173,11 @@
 	}
 	near, nearInner := net.Pipe()
 	far, farInner := net.Pipe()
-	go nw.pump(nearInner, farInner, path)
+	nw.track(nearInner, pair(zone, ls.zone))
+	go func() {
+		nw.pump(nearInner, farInner, path)
+		nw.untrack(nearInner)
+	}()
 	go nw.pump(farInner, nearInner, path)
 	select {
 	case ls.arrived <- far:
--- a/internal/standin/platform/faults.go
+++ b/internal/standin/platform/faults.go
@@ -24,6 +24,8 @@
 	LoseAnswers int64 `json:"lose_answers"`
 	// HoldMS delays the answers of writes after their effect, in milliseconds.
 	HoldMS int64 `json:"hold_ms"`
+	// Compacted makes watches say that their version is too old.
+	Compacted bool `json:"compacted"`
 	// StaleList makes lists and VM lists answer as they were when it was set.
 	StaleList bool `json:"stale_list"`
 }
@@ -178,6 +180,9 @@
 	if err := fy.enter(ctx); err != nil {
 		return nil, 0, err
 	}
+	if fy.Current().Compacted {
+		return nil, 0, product.ErrCompacted
+	}
 	fy.Watches.Add(1)
 	defer fy.Watches.Add(-1)
 	changes, next, err := fy.Store.Watch(ctx, prefix, from, wait)
