Keep answers whole under silent links, crashes, overload and outages

Now a part may go to the same server again on another link; without a place for a probe the link is cut at once; 3 servers' links silent within 1 s give up the links of all. - A crashing request sent at once through all entry VMs: the same shard was the canary each time and lost its three replicas, so that other answers were partial. Ruled out: the hedge and retry budgets (not used up), the heartbeats (heard).

--- a/internal/peer/backend/client.go
+++ b/internal/peer/backend/client.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -15,6 +16,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/jx"
 
+	"daisystage.example/daisystage/internal/container/rcu"
 	"daisystage.example/daisystage/internal/query/scatter"
 	"daisystage.example/daisystage/internal/wire/backendapi"
 	"daisystage.example/daisystage/internal/world/contract"
@@ -30,6 +32,10 @@
 	// pollsPerSecond bounds the readings of one process; with more servers
 	// each of them is read less often.
 	pollsPerSecond = 40
+	// massSilence is the number of servers whose links go silent within
+	// massWindow from which the links of all are given up.
+	massSilence = 3
+	massWindow  = time.Second
 	// pollTimeout bounds one reading.
 	pollTimeout = 500 * time.Millisecond
 )
@@ -37,6 +43,12 @@
 // errSilent is the cause of a request that was cut off on a silent link.
 var errSilent = errors.New("no byte came on the link while a new connection answered")
 
+// silence is a server whose links went silent.
+type silence struct {
+	server string
+	at     time.Time
+}
+
 // Client sends parts to servers. Make one with New.
 type Client struct {
 	dial DialFunc
@@ -44,13 +56,15 @@
 	entryVMs atomic.Int64
 	// pools maps name and address of a server to its *pool.
 	pools sync.Map
+	// silent holds the servers whose links went silent within massWindow.
+	silent *rcu.Value[[]silence]
 	// Mismatched counts answers that did not belong to their part.
 	Mismatched atomic.Int64
 }
 
 // New returns a client and a function that closes its links.
 func New(dial DialFunc) (*Client, func()) {
-	cl := &Client{dial: dial}
+	cl := &Client{dial: dial, silent: rcu.New([]silence{})}
 	cl.entryVMs.Store(1)
 	return cl, cl.close
 }
@@ -211,8 +225,12 @@
 		return
 	}
 	if !pl.tryOpen(pl.share.Load()) {
-		// No place for a probe: after a second wait the link makes room.
-		cl.cutAfter(ctx, cn, sentAt, limit, cut)
+		// No place for a probe: the link makes room. If the server answers on
+		// no other link either, those go too.
+		if pl.lastRead.Load() <= sentAt.UnixNano() {
+			cl.condemn(startedAt, pl)
+		}
+		cut(errSilent)
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
@@ -228,23 +246,30 @@
 		return
 	}
 	if cn.LastRead.Load() <= sentAt.UnixNano() {
-		pl.condemn(startedAt)
+		cl.condemn(startedAt, pl)
 		cut(errSilent)
 	}
 	pl.give(time.Now(), fresh)
 }
 
-func (cl *Client) cutAfter(ctx context.Context, cn *conn, sentAt time.Time, limit time.Duration, cut context.CancelCauseFunc) {
-	timer := time.NewTimer(limit)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
+// condemn gives up all links to a server that were opened before a time. When
+// several servers' links went silent at once, something on the way forgot them,
+// and those of all servers are given up.
+func (cl *Client) condemn(before time.Time, pl *pool) {
+	pl.condemn(before)
+	recent := *cl.silent.Update(func(old []silence) []silence {
+		next := slices.DeleteFunc(slices.Clone(old), func(sl silence) bool {
+			return sl.server == pl.server.Name || before.Sub(sl.at) > massWindow
+		})
+		return append(next, silence{server: pl.server.Name, at: before})
+	})
+	if len(recent) < massSilence {
 		return
 	}
-	if cn.LastRead.Load() <= sentAt.UnixNano() {
-		cut(errSilent)
-	}
+	cl.pools.Range(func(_, value any) bool {
+		value.(*pool).condemn(before)
+		return true
+	})
 }
 
 // Poll reads load and health of servers until the context ends, some each
--- a/internal/peer/backend/pool.go
+++ b/internal/peer/backend/pool.go
@@ -39,13 +39,16 @@
 type countingConn struct {
 	net.Conn
 	link *link.Link
+	pool *pool
 }
 
 // Read is of net.Conn.
 func (cc *countingConn) Read(buffer []byte) (int, error) {
 	count, err := cc.Conn.Read(buffer)
 	if count > 0 {
-		cc.link.LastRead.Store(time.Now().UnixNano())
+		now := time.Now().UnixNano()
+		cc.link.LastRead.Store(now)
+		cc.pool.lastRead.Store(now)
 	}
 	return count, err
 }
@@ -78,7 +81,9 @@
 	// Unix nanoseconds.
 	condemnedBefore atomic.Int64
 	condemned       atomic.Int64
-	dialing         chan struct{}
+	// lastRead is when a byte last arrived on any link, in Unix nanoseconds.
+	lastRead atomic.Int64
+	dialing  chan struct{}
 }
 
 func newPool(dial DialFunc, sv *machine.Server) *pool {
@@ -174,13 +179,13 @@
 		pl.free()
 		return nil, &contract.PartError{Cause: contract.CauseDialFailed, NotRun: true, Err: err}
 	}
-	return newConn(time.Now(), raw, pl.server.Address)
+	return pl.newConn(time.Now(), raw)
 }
 
-func newConn(now time.Time, raw net.Conn, address string) (*conn, error) {
+func (pl *pool) newConn(now time.Time, raw net.Conn) (*conn, error) {
 	cn := &conn{}
 	cn.OpenedAt = now
-	cn.raw = &countingConn{Conn: raw, link: &cn.Link}
+	cn.raw = &countingConn{Conn: raw, link: &cn.Link, pool: pl}
 	var used atomic.Bool
 	cn.transport = &http.Transport{
 		// A link is one connection: when it breaks, the pool makes the next.
@@ -193,9 +198,10 @@
 		MaxIdleConnsPerHost: 1,
 		DisableCompression:  true,
 	}
-	client, err := backendapi.NewClient("http://"+address, backendapi.WithClient(&http.Client{Transport: cn.transport}))
+	client, err := backendapi.NewClient("http://"+pl.server.Address, backendapi.WithClient(&http.Client{Transport: cn.transport}))
 	if err != nil {
 		_ = raw.Close()
+		pl.free()
 		return nil, &contract.PartError{Cause: contract.CauseDialFailed, NotRun: true, Err: err}
 	}
 	cn.client = client
--- a/internal/peer/entry/cluster.go
+++ b/internal/peer/entry/cluster.go
@@ -43,8 +43,11 @@
 	// fullPullAfter is the number of rounds in which a digest may differ
 	// before all objects are pulled.
 	fullPullAfter = 3
-	// frozenFor is how long an agreement that the platform is down holds.
-	frozenFor = 3 * time.Second
+	// agreeWithin is how recently a peer must have said that the platform is
+	// down, and frozenFor how long an agreement on that holds: as long as word
+	// from the platform.
+	agreeWithin = 3 * time.Second
+	frozenFor   = view.ConfirmedFor
 )
 
 // Transport carries messages to one entry VM.
@@ -423,7 +426,7 @@
 	known := *cr.members.Load()
 	agree, elsewhere := 1, false
 	for _, mb := range known {
-		heard := now.Sub(mb.AnsweredAt) <= frozenFor
+		heard := now.Sub(mb.AnsweredAt) <= agreeWithin
 		if heard && mb.PlatformDown && mb.Digest == digest {
 			agree++
 			elsewhere = elsewhere || mb.Zone != cr.Self.Zone
--- a/internal/peer/platform/watcher.go
+++ b/internal/peer/platform/watcher.go
@@ -19,9 +19,16 @@
 	// watchWait is how long a watch waits for a change. It is well below
 	// view.ConfirmedFor, since each answer confirms the view.
 	watchWait = time.Second
+	// slowWatchWait is the wait while the platform takes longer than slowCall,
+	// so that two watches in a row stay below view.ConfirmedFor.
+	slowWatchWait = 300 * time.Millisecond
+	slowCall      = 300 * time.Millisecond
 	// firstBackoff and longestBackoff bound the wait after a failed call.
 	firstBackoff   = 100 * time.Millisecond
-	longestBackoff = 5 * time.Second
+	longestBackoff = 2 * time.Second
+	// wakeSpread keeps the calls of many processes apart when the platform is
+	// back.
+	wakeSpread = 200 * time.Millisecond
 	// vmListEvery is the time between two readings of the VM list.
 	vmListEvery = 2 * time.Second
 )
@@ -36,6 +43,10 @@
 	lock sync.Mutex
 	// heard is when the newest answered call for each prefix was made.
 	heard map[string]time.Time
+	// slow holds the prefixes whose last watch was answered late.
+	slow map[string]bool
+	// back is not nil while a prefix waits after a failure.
+	back chan struct{}
 }
 
 // Apply takes objects into the published view and logs those that it refuses.
@@ -65,7 +76,7 @@
 
 // Run watches all prefixes of the view until the context ends.
 func (wt *Watcher) Run(ctx context.Context) {
-	wt.heard = map[string]time.Time{}
+	wt.heard, wt.slow = map[string]time.Time{}, map[string]bool{}
 	var watches sync.WaitGroup
 	for _, prefix := range view.Prefixes() {
 		watches.Go(func() { wt.runPrefix(ctx, prefix) })
@@ -80,19 +91,41 @@
 		next, err := wt.step(ctx, prefix, from)
 		if err == nil {
 			from, backoff = next, firstBackoff
+			wt.answered()
 			continue
 		}
+		back := wt.failed()
 		if errors.Is(err, ErrCompacted) {
 			from = -1
 		}
 		if ctx.Err() == nil {
 			events.WatchFailed.Log(wt.Log, zap.String("prefix", prefix), zap.Error(err))
 		}
-		sleep(ctx, jitter(backoff))
+		wait(ctx, jitter(backoff), back)
 		backoff = min(backoff*2, longestBackoff)
 	}
 }
 
+// failed returns a channel that is closed when a prefix is answered again.
+func (wt *Watcher) failed() <-chan struct{} {
+	wt.lock.Lock()
+	defer wt.lock.Unlock()
+	if wt.back == nil {
+		wt.back = make(chan struct{})
+	}
+	return wt.back
+}
+
+// answered wakes the prefixes that wait after a failure: the platform is back.
+func (wt *Watcher) answered() {
+	wt.lock.Lock()
+	defer wt.lock.Unlock()
+	if wt.back != nil {
+		close(wt.back)
+		wt.back = nil
+	}
+}
+
 // step lists the prefix if from is negative, else it watches once.
 func (wt *Watcher) step(ctx context.Context, prefix string, from int64) (int64, error) {
 	startedAt := time.Now()
@@ -105,10 +138,15 @@
 		wt.confirm(prefix, startedAt)
 		return version, nil
 	}
-	objects, next, err := wt.Store.Watch(ctx, prefix, from, watchWait)
+	wait := watchWait
+	if wt.isSlow(prefix) {
+		wait = slowWatchWait
+	}
+	objects, next, err := wt.Store.Watch(ctx, prefix, from, wait)
 	if err != nil {
 		return 0, err
 	}
+	wt.setSlow(prefix, time.Since(startedAt) > wait+slowCall)
 	if next < from {
 		events.StaleStore.Log(wt.Log, zap.String("prefix", prefix), zap.Int64("version", next), zap.Int64("known", from))
 		return from, nil
@@ -134,6 +172,18 @@
 	return gone
 }
 
+func (wt *Watcher) isSlow(prefix string) bool {
+	wt.lock.Lock()
+	defer wt.lock.Unlock()
+	return wt.slow[prefix]
+}
+
+func (wt *Watcher) setSlow(prefix string, slow bool) {
+	wt.lock.Lock()
+	defer wt.lock.Unlock()
+	wt.slow[prefix] = slow
+}
+
 // confirm records that the prefix is as of a time; the view is as of the
 // oldest of its prefixes.
 func (wt *Watcher) confirm(prefix string, asOf time.Time) {
@@ -170,10 +220,18 @@
 }
 
 func sleep(ctx context.Context, duration time.Duration) {
+	wait(ctx, duration, nil)
+}
+
+// wait sleeps until the duration is over or wake is closed, then for a moment
+// that differs between processes.
+func wait(ctx context.Context, duration time.Duration, wake <-chan struct{}) {
 	timer := time.NewTimer(duration)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
+	case <-wake:
+		sleep(ctx, jitter(wakeSpread))
 	case <-ctx.Done():
 	}
 }
--- a/internal/query/admit/gate.go
+++ b/internal/query/admit/gate.go
@@ -19,10 +19,14 @@
 	startCapacity = 256
 	// contendedShare is the part of the capacity, in 1/100, that one team may
 	// hold while another one is active.
-	contendedShare = 75
+	contendedShare = 30
 	// ordinaryShare is the part of the capacity, in 1/100, that ordinary
 	// requests may hold.
 	ordinaryShare = 90
+	// urgentMargin and ordinaryMargin are the time allowed for an admitted
+	// request against the mean of whole ones, in 1/100.
+	urgentMargin   = 150
+	ordinaryMargin = 400
 	// activeFor is how long a team counts as active after its last request.
 	activeFor = 10 * time.Second
 	// wakeBuffer is the number of new waiters that need not wait for the
@@ -68,7 +72,9 @@
 	// inFlight counts parts, requests counts whole requests.
 	inFlight atomic.Int64
 	requests atomic.Int64
-	queued   atomic.Int64
+	// urgentQueued and ordinaryQueued count the requests that wait.
+	urgentQueued   atomic.Int64
+	ordinaryQueued atomic.Int64
 	// seenAt is in Unix nanoseconds.
 	seenAt atomic.Int64
 }
@@ -79,11 +85,14 @@
 	// inFlight counts the parts of admitted requests.
 	inFlight atomic.Int64
 	ordinary atomic.Int64
-	// waiting counts the requests in the queues, waitingParts their parts.
-	waiting      atomic.Int64
-	waitingParts atomic.Int64
-	// meanNanos is the smoothed duration of a part.
-	meanNanos atomic.Int64
+	// waiting counts the requests in the queues, the other two their parts.
+	waiting       atomic.Int64
+	urgentParts   atomic.Int64
+	ordinaryParts atomic.Int64
+	// meanNanos is the smoothed duration of a part, wholeNanos that of a
+	// request that was answered whole.
+	meanNanos  atomic.Int64
+	wholeNanos atomic.Int64
 	// activeTeams counts the teams seen within activeFor.
 	activeTeams atomic.Int64
 	teams       sync.Map
@@ -148,11 +157,11 @@
 	if gt.waiting.Load() == 0 && gt.tryStart(tk) {
 		return tk, nil
 	}
-	if tm.queued.Load() >= int64(dm.Limits.MaxQueued) {
+	if queued := tm.queued(dm.Class).Load(); queued >= int64(dm.Limits.MaxQueued) {
 		return nil, contract.Refuse(contract.NotRun, contract.CodeQueueFull,
-			"%d requests of team %s wait already", tm.queued.Load(), dm.Team)
+			"%d %s requests of team %s wait already", queued, dm.Class, dm.Team)
 	}
-	if late := gt.lateness(now, dm); late > 0 {
+	if late := gt.lateness(now, dm, tm); late > 0 {
 		return nil, contract.Refuse(contract.NotRun, contract.CodeDeadlineHopeless,
 			"the queue is so long that the deadline would be missed by %s", late.Round(time.Millisecond))
 	}
@@ -168,7 +177,7 @@
 		gt.count(tk, -1)
 		return nil, contract.Refuse(contract.NotRun, contract.CodeStarting, "the process is stopping")
 	}
-	latest := dm.Deadline.Add(-time.Duration(gt.meanNanos.Load()))
+	latest := dm.Deadline.Add(-gt.usual(dm.Class))
 	ctx, cancel := context.WithDeadline(ctx, latest)
 	defer cancel()
 	select {
@@ -188,21 +197,44 @@
 
 func (gt *Gate) count(tk *Ticket, by int64) {
 	gt.waiting.Add(by)
-	gt.waitingParts.Add(by * tk.parts)
-	tk.team.queued.Add(by)
+	if tk.class == contract.Urgent {
+		gt.urgentParts.Add(by * tk.parts)
+	} else {
+		gt.ordinaryParts.Add(by * tk.parts)
+	}
+	tk.team.queued(tk.class).Add(by)
 }
 
-// lateness returns by how much a request that queues now would be late.
-func (gt *Gate) lateness(now time.Time, dm Demand) time.Duration {
-	mean := time.Duration(gt.meanNanos.Load())
-	ahead := gt.waitingParts.Load()
-	if dm.Class == contract.Urgent {
-		// Urgent requests overtake ordinary ones; half is a lower bound that
-		// refuses none of those that could be met.
-		ahead /= 2
+func (tm *team) queued(class contract.Class) *atomic.Int64 {
+	if class == contract.Urgent {
+		return &tm.urgentQueued
+	}
+	return &tm.ordinaryQueued
+}
+
+// usual returns how long a request may take once it is admitted.
+func (gt *Gate) usual(class contract.Class) time.Duration {
+	mean := time.Duration(gt.wholeNanos.Load())
+	if class == contract.Urgent {
+		return mean * urgentMargin / 100
+	}
+	return mean * ordinaryMargin / 100
+}
+
+// lateness returns by how much a request that queues now would be late. Teams
+// take turns, so that only the own team's queue is ahead, once for each team.
+func (gt *Gate) lateness(now time.Time, dm Demand, tm *team) time.Duration {
+	all := gt.urgentParts.Load()
+	own := tm.urgentQueued.Load()
+	if dm.Class != contract.Urgent {
+		// Urgent requests overtake ordinary ones.
+		all += gt.ordinaryParts.Load()
+		own += tm.ordinaryQueued.Load()
 	}
+	ahead := min(all, (own+1)*dm.Parts*max(gt.activeTeams.Load(), 1))
+	mean := time.Duration(gt.meanNanos.Load())
 	wait := time.Duration(float64(mean) * float64(ahead) / float64(gt.capacity.Load()))
-	return now.Add(wait + mean).Sub(dm.Deadline)
+	return now.Add(wait + gt.usual(dm.Class)).Sub(dm.Deadline)
 }
 
 // tryStart admits a ticket if there is room.
@@ -257,18 +289,26 @@
 		return
 	}
 	gt := tk.gate
-	took := now.Sub(tk.startedAt).Nanoseconds()
-	mean := gt.meanNanos.Load()
-	if mean == 0 {
-		mean = took
-	}
-	gt.meanNanos.Store((mean*smoothing + took) / (smoothing + 1))
+	smooth(&gt.meanNanos, now.Sub(tk.startedAt))
 	gt.release(tk, 1)
 }
 
+// smooth takes a duration into a mean. A lost race loses one of them.
+func smooth(mean *atomic.Int64, took time.Duration) {
+	old := mean.Load()
+	if old == 0 {
+		old = int64(took)
+	}
+	mean.Store((old*smoothing + int64(took)) / (smoothing + 1))
+}
+
 // Leave gives the rest of the ticket back. It is called once, after the last
-// PartOver.
-func (tk *Ticket) Leave() {
+// PartOver. whole tells whether the request was answered whole: others may have
+// waited for their deadline.
+func (tk *Ticket) Leave(now time.Time, whole bool) {
+	if whole {
+		smooth(&tk.gate.wholeNanos, now.Sub(tk.startedAt))
+	}
 	tk.team.requests.Add(-1)
 	tk.gate.release(tk, max(tk.held.Swap(0), 0))
 }
--- a/internal/query/request/once.go
+++ b/internal/query/request/once.go
@@ -30,8 +30,8 @@
 	if err != nil {
 		return nil, sv.refuseOnce(ctx, rn, err)
 	}
-	defer ticket.Leave()
 	rn.ticket = ticket
+	defer func() { ticket.Leave(time.Now(), rn.receipt.Coverage.Share() == 1) }()
 	return sv.claimAndRun(ctx, rn)
 }
 
--- a/internal/query/request/service.go
+++ b/internal/query/request/service.go
@@ -182,8 +182,7 @@
 		return contract.Refuse(contract.NotRun, contract.CodeDeadlineHopeless, "the deadline passed before the request was sent")
 	}
 	if sv.Quarantine.Bars(now, rn.print) {
-		return contract.Refuse(contract.NotRun, contract.CodeQuarantined,
-			"requests with this body were running when several servers were lost")
+		return quarantined()
 	}
 	if sv.Confirmation.IsConfirmed(now) {
 		return nil
@@ -197,6 +196,11 @@
 		"this entry VM has had no word from the platform or a peer since %s", since.UTC().Format(time.RFC3339))
 }
 
+func quarantined() error {
+	return contract.Refuse(contract.NotRun, contract.CodeQuarantined,
+		"requests with this body were running when servers were lost")
+}
+
 func (sv *Service) enter(ctx context.Context, now time.Time, rn *run) (*admit.Ticket, error) {
 	return sv.gateOf(rn.setting.Route.Collection).Enter(ctx, now, admit.Demand{
 		Team:     rn.call.Team,
@@ -219,8 +223,8 @@
 	if err != nil {
 		return nil, err
 	}
-	defer ticket.Leave()
 	rn.ticket = ticket
+	defer func() { ticket.Leave(time.Now(), rn.receipt.Coverage.Share() == 1) }()
 	// The process may have been paused since the call came in.
 	if err := sv.permit(time.Now(), rn); err != nil {
 		return nil, err
@@ -229,6 +233,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if an.Coverage.Answered == 0 && !an.MayHaveRun && an.Records[0].Cause == contract.CauseQuarantined {
+		return nil, quarantined()
+	}
 	if an.Coverage.Answered == 0 && !an.MayHaveRun {
 		return nil, contract.Refuse(contract.NotRun, contract.CodeNoServer, "no server took a part of the request")
 	}
@@ -342,7 +349,7 @@
 
 // capacityFactor is the number of parts admitted for each that the servers'
 // limits allow at once, so that the servers' queues do not run dry.
-const capacityFactor = 2
+const capacityFactor = 1.5
 
 // Tend renews the capacity of the gates and the published latencies. It is
 // called several times a second.
@@ -396,7 +403,7 @@
 	}
 	capacity := int64(0)
 	for _, sv := range servers {
-		capacity += sv.State.CurrentLimit() * capacityFactor
+		capacity += sv.State.CurrentLimit()
 	}
-	return max(capacity, int64(len(shards)))
+	return max(int64(float64(capacity)*capacityFactor), int64(len(shards)))
 }
--- a/internal/query/scatter/gather.go
+++ b/internal/query/scatter/gather.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -39,6 +40,10 @@
 	candidates []*machine.Server
 }
 
+// silentRetries is the number of times that a part goes to the same server
+// again because its link was silent.
+const silentRetries = 3
+
 // partState is one shard of a gather.
 type partState struct {
 	shard  *snapshot.Shard
@@ -47,7 +52,9 @@
 	// open holds the attempts that have no result yet.
 	open []attempt
 	// tried names the servers that an attempt was sent to.
-	tried     []string
+	tried []string
+	// silent counts the attempts whose link was silent.
+	silent    int
 	startedAt time.Time
 	// hedgeAt is when a second attempt is due, if there is no answer by then.
 	hedgeAt  time.Time
@@ -84,8 +91,8 @@
 		ga.parts[i].record.Shard = shards[i].Name
 		most += len(shards[i].Replicas)
 	}
-	// Each replica is tried once, so that an attempt never blocks on this.
-	ga.results = make(chan result, most)
+	// Attempts are bounded, so that none ever blocks on this.
+	ga.results = make(chan result, most+len(shards)*silentRetries)
 	ga.hedgeAfter, ga.hedging = qr.Hedges.After(rq.Setting.Route, rq.Setting.State.Latency.Recent())
 	ga.hedging = ga.hedging && rq.Setting.Route.Idempotent
 	return ga
@@ -99,12 +106,10 @@
 	rt := ga.rq.Setting.Route
 	quarantine := ga.query.Quarantine
 	ga.careful = quarantine.Count(now, ga.rq.Fingerprint) > 0
-	if rt.Canary != contract.CanaryOff && len(ga.parts) > 1 && !quarantine.IsProven(ga.rq.Fingerprint) {
-		if !ga.runCanary(ctx, now) {
-			return
-		}
-		now = time.Now()
+	if rt.Canary != contract.CanaryOff && !ga.runFirst(ctx) {
+		return
 	}
+	now = time.Now()
 	for i := range ga.parts {
 		if !ga.parts[i].over && len(ga.parts[i].open) == 0 {
 			ga.start(ctx, now, i)
@@ -113,10 +118,38 @@
 	ga.wait(ctx, func() bool { return ga.waiting == 0 })
 }
 
-// runCanary sends one part alone and reports whether the others may follow.
+// runFirst makes sure that a request which was not seen before runs alone, on
+// one server, until it was answered. It reports whether the parts that are left
+// may be sent.
+func (ga *gather[R, H]) runFirst(ctx context.Context) bool {
+	quarantine := ga.query.Quarantine
+	for !quarantine.IsProven(ga.rq.Fingerprint) {
+		if quarantine.Bars(time.Now(), ga.rq.Fingerprint) {
+			ga.giveUpAll(contract.CauseQuarantined)
+			return false
+		}
+		done, leads := quarantine.Lead(ga.rq.Fingerprint)
+		if leads {
+			defer done.End()
+			return ga.runCanary(ctx, time.Now())
+		}
+		select {
+		case <-done.Ended:
+		case <-ctx.Done():
+			ga.stop()
+			return false
+		}
+	}
+	return true
+}
+
+// runCanary sends one part alone and reports whether the others may follow. The
+// part is a random one, so that repeated sends do not take all replicas of one
+// shard.
 func (ga *gather[R, H]) runCanary(ctx context.Context, now time.Time) bool {
-	first := &ga.parts[int(ga.rq.Fingerprint%uint64(len(ga.parts)))]
-	ga.start(ctx, now, int(ga.rq.Fingerprint%uint64(len(ga.parts))))
+	at := rand.IntN(len(ga.parts))
+	first := &ga.parts[at]
+	ga.start(ctx, now, at)
 	if ga.rq.Setting.Route.Canary == contract.CanaryBrief {
 		ga.wakeAt = now.Add(max(ga.rq.Setting.State.Latency.Recent().P50, minHedgeWait))
 	}
@@ -128,12 +161,16 @@
 	if !first.over || first.answered || ga.query.Quarantine.Count(time.Now(), ga.rq.Fingerprint) == 0 {
 		return true
 	}
+	ga.giveUpAll(contract.CauseQuarantined)
+	return false
+}
+
+func (ga *gather[R, H]) giveUpAll(cause contract.Cause) {
 	for i := range ga.parts {
 		if !ga.parts[i].over {
-			ga.giveUp(i, contract.CauseQuarantined)
+			ga.giveUp(i, cause)
 		}
 	}
-	return false
 }
 
 func (ga *gather[R, H]) wakeIsOver(now time.Time) bool {
@@ -255,8 +292,7 @@
 func (ga *gather[R, H]) learn(now time.Time, sv *machine.Server, took time.Duration, err error) {
 	service := took - 2*ga.query.Zone.Delay(sv.Zone)
 	if err == nil {
-		sv.State.Succeeded(int64(sv.ConnectionLimit))
-		sv.State.Observe(now, service)
+		sv.State.Succeeded(now, service, int64(sv.ConnectionLimit))
 		ga.rq.Setting.State.Latency.Record(took)
 		return
 	}
@@ -303,6 +339,11 @@
 	cause, notRun := causeOf(rs.err)
 	ga.mayHaveRun = ga.mayHaveRun || !notRun
 	pt.record.Misses = append(pt.record.Misses, contract.Miss{Server: ended.server.Name, Cause: cause})
+	if cause == contract.CauseLinkSilent && pt.silent < silentRetries {
+		// The link was at fault, the server may be asked on another one.
+		pt.silent++
+		pt.tried = slices.DeleteFunc(pt.tried, func(name string) bool { return name == ended.server.Name })
+	}
 	if len(pt.open) > 0 {
 		return
 	}
