--- a/cmd/daisystage/check.go
+++ b/cmd/daisystage/check.go
@@ -24,7 +24,7 @@
 	cmd := app.Command("check", usageCheck)
 	config := cmd.Flag("config", "The entry.toml to check.").String()
 	path := cmd.Flag("path", "Path of the setting to check.").String()
-	file := cmd.Flag("file", "Text of the setting, - for standard input.").String()
+	file := cmd.Flag("file", "Text of the setting; standard input by default.").String()
 	cmd.Action(action(func() error { return check(*config, *path, *file, tl) }))
 }
 
@@ -52,18 +52,15 @@
 	return nil
 }
 
-// readFile reads a file, or standard input for "-".
+// readFile reads a file, or standard input without one.
 func readFile(path string, tl tool) (string, error) {
-	if path == "-" {
+	if path == "" || path == "-" {
 		body, err := io.ReadAll(tl.in)
 		if err != nil {
 			return "", fmt.Errorf("read standard input: %w", err)
 		}
 		return string(body), nil
 	}
-	if path == "" {
-		return "", errors.New("--file is needed")
-	}
 	body, err := os.ReadFile(path)
 	if err != nil {
 		return "", fmt.Errorf("read setting: %w", err)
--- a/cmd/daisystage/explain.go
+++ b/cmd/daisystage/explain.go
@@ -19,7 +19,7 @@
 const usageExplain = `Tell in sentences how a request was answered: from which snapshot, settings and
 servers, and why each missing shard is missing.
 
-RECEIPT is a file with a receipt, - for standard input, or the id of a request
+RECEIPT is a file with a receipt, or the id of a request
 whose receipts the platform keeps. The settings are read from the platform, so
 no entry VM needs to be alive.
 
@@ -29,7 +29,7 @@
 
 func addExplain(app *kingpin.Application, tl tool) {
 	cmd := app.Command("explain", usageExplain)
-	receipt := cmd.Arg("receipt", "File, - or request id.").Required().String()
+	receipt := cmd.Arg("receipt", "File or request id.").Required().String()
 	addresses := cmd.Flag("platform", "Address of the platform; may be given several times.").Required().Strings()
 	cmd.Action(action(func() error {
 		ctx, cancel := context.WithTimeout(context.Background(), explainBudget)
--- a/cmd/daisystage/settings.go
+++ b/cmd/daisystage/settings.go
@@ -99,7 +99,7 @@
 	tg := &target{}
 	tg.flags(cmd)
 	path := cmd.Arg("path", "Path of the setting.").Required().String()
-	file := cmd.Flag("file", "Text of the setting, - for standard input.").Required().String()
+	file := cmd.Flag("file", "Text of the setting; standard input by default.").String()
 	basedOn := cmd.Flag("based-on", "Hash of the revision that the change was made from.").String()
 	reason := cmd.Flag("reason", "Why the change is made.").Required().String()
 	changeID := cmd.Flag("change-id", "Id of the change, the same for each send of it.").String()
--- a/internal/node/entryvm/measure_test.go
+++ b/internal/node/entryvm/measure_test.go
@@ -1,7 +1,13 @@
+//go:build !race
+
+// The tests of this file need many requests, which the race detector slows down
+// too much; CI runs them without it.
+
 package entryvm_test
 
 import (
 	"fmt"
+	"maps"
 	"os"
 	"strings"
 	"sync"
@@ -213,6 +219,58 @@
 	}
 }
 
+// TestOverload sends more than the servers can do: urgent requests keep their
+// deadline, ordinary ones are refused early.
+func TestOverload(t *testing.T) {
+	plan := site.Gaisma()
+	plan.Routes["browse"] = "class = \"ordinary\"\ncollection = \"lessons\"\ndeadline = \"400ms\"\n"
+	// 30 servers with 2 slots and 4 ms a part run 500 queries of 30 parts a
+	// second.
+	for _, factor := range []float64{1.5, 3} {
+		t.Run(fmt.Sprintf("%.1f times the slots", factor), func(t *testing.T) {
+			inSite(t, plan, func(t *testing.T, st *site.Site) {
+				warmUp(t, st)
+				urgent := startStream(t, st, "find", 10*time.Millisecond)
+				pause := time.Duration(float64(time.Second) / (factor*500 - 100))
+				ordinary := startStream(t, st, "browse", pause)
+				time.Sleep(3 * time.Second)
+				refused := ordinary.end()
+				counts := countOutcomes(t, st, urgent.end())
+				t.Logf("urgent %v", counts)
+				onlyWhole(t, counts)
+				counts = countOutcomes(t, st, refused)
+				t.Logf("ordinary %v", counts)
+				for told := range maps.Keys(counts) {
+					assert.Assert(t, told == "whole" || told == "partial" || told == "not_run queue_full" || told == "not_run deadline_hopeless", "%v", counts)
+				}
+				assert.Assert(t, counts["whole"] > 0, "%v", counts)
+				checkConnections(t, st)
+			})
+		})
+	}
+}
+
+// TestFloodOfOneTeam compares a team's p99 while it is alone with that during
+// another team's flood.
+func TestFloodOfOneTeam(t *testing.T) {
+	plan := site.Gaisma()
+	inSite(t, plan, func(t *testing.T, st *site.Site) {
+		_, err := st.PutSetting(t.Context(), time.Now(), "teams/flood/routes/find", st.Plan.Routes["find"])
+		assert.NilError(t, err)
+		warmUp(t, st)
+		sc := scenario{name: "quiet", rate: 50, length: 12 * time.Second}
+		quiet := load(t, st, sc)
+		flood := startTeamStream(t, st, "flood", "find", 2*time.Millisecond)
+		time.Sleep(time.Second)
+		flooded := load(t, st, sc)
+		flood.end()
+		t.Logf("quiet   %s", quiet)
+		t.Logf("flooded %s", flooded)
+		assert.Assert(t, flooded.p99 <= quiet.p99*6/5, "p99 %s, quiet %s", flooded.p99, quiet.p99)
+		assert.Equal(t, flooded.refused, 0.0)
+	})
+}
+
 // TestMeasure prints the rows of docs/MEASUREMENTS.md. It runs on request, with
 // DAISYSTAGE_MEASURE set to a part of the scenarios' names or to "all".
 func TestMeasure(t *testing.T) {
--- a/internal/query/scatter/gather.go
+++ b/internal/query/scatter/gather.go
@@ -53,8 +53,8 @@
 	open []attempt
 	// tried names the servers that an attempt was sent to.
 	tried []string
-	// silent counts the attempts whose link was silent.
-	silent    int
+	// again names the servers that may be asked once more, on another link.
+	again     []string
 	startedAt time.Time
 	// hedgeAt is when a second attempt is due, if there is no answer by then.
 	hedgeAt  time.Time
@@ -240,11 +240,21 @@
 	ga.send(ctx, now, at, sv, false)
 }
 
-// choose returns a replica that was not tried, nil if none is left.
+// choose returns a replica that was not tried, else one whose link was at
+// fault, nil if none is left.
 func (ga *gather[R, H]) choose(now time.Time, pt *partState, avoid string) *machine.Server {
+	sv := ga.chooseAmong(now, pt.shard.Replicas, pt.tried, avoid)
+	if sv == nil && len(pt.again) > 0 {
+		sv = ga.chooseAmong(now, pt.again, nil, avoid)
+		pt.again = slices.DeleteFunc(pt.again, func(name string) bool { return sv != nil && name == sv.Name })
+	}
+	return sv
+}
+
+func (ga *gather[R, H]) chooseAmong(now time.Time, names, except []string, avoid string) *machine.Server {
 	ga.candidates = ga.candidates[:0]
-	for _, name := range pt.shard.Replicas {
-		if slices.Contains(pt.tried, name) {
+	for _, name := range names {
+		if slices.Contains(except, name) {
 			continue
 		}
 		sv, ok := ga.rq.View.Servers.Get(name)
@@ -339,10 +349,8 @@
 	cause, notRun := causeOf(rs.err)
 	ga.mayHaveRun = ga.mayHaveRun || !notRun
 	pt.record.Misses = append(pt.record.Misses, contract.Miss{Server: ended.server.Name, Cause: cause})
-	if cause == contract.CauseLinkSilent && pt.silent < silentRetries {
-		// The link was at fault, the server may be asked on another one.
-		pt.silent++
-		pt.tried = slices.DeleteFunc(pt.tried, func(name string) bool { return name == ended.server.Name })
+	if cause == contract.CauseLinkSilent && len(pt.tried) < len(pt.shard.Replicas)+silentRetries {
+		pt.again = append(pt.again, ended.server.Name)
 	}
 	if len(pt.open) > 0 {
 		return
@@ -385,7 +393,7 @@
 		ga.giveUp(at, cause)
 		return
 	}
-	if addsLoad(cause) && !ga.rq.Setting.State.Retries.TrySpend() {
+	if addsLoad(cause) && !ga.rq.Setting.State.Retries.TrySpend(now) {
 		ga.giveUp(at, cause)
 		return
 	}
@@ -457,7 +465,7 @@
 			pt.hedgeAt = now.Add(max(ga.hedgeAfter/2, minHedgeWait))
 			continue
 		}
-		if !ga.rq.Setting.State.Hedges.TrySpend() {
+		if !ga.rq.Setting.State.Hedges.TrySpend(now) {
 			ga.hedging = false
 			return
 		}
--- a/internal/world/contract/route.go
+++ b/internal/world/contract/route.go
@@ -51,6 +51,9 @@
 const (
 	longestDeadline = time.Minute
 	largestShare    = 1.0
+	// retriesPerSecond are allowed to a route whatever its traffic: a part
+	// that is not retried is missing from the answer.
+	retriesPerSecond = 20
 )
 
 // Route is the setting under teams/<team>/routes/<route>.
@@ -187,5 +190,5 @@
 
 // NewRouteState returns the state of a route that is new to the process.
 func NewRouteState() *RouteState {
-	return &RouteState{Hedges: NewBudget(), Retries: NewBudget(), Latency: link.NewLatency()}
+	return &RouteState{Hedges: NewBudget(0), Retries: NewBudget(retriesPerSecond), Latency: link.NewLatency()}
 }
