Ask other requests after a crash, not only before

The stream of other requests was slowed down for the race detector and ended before its first request; it now goes on for 2 s after the crashes.

--- a/internal/node/entryvm/failures_test.go
+++ b/internal/node/entryvm/failures_test.go
@@ -185,6 +185,8 @@
 					}
 					sends.Wait()
 				}
+				// Other requests go on after the servers are lost.
+				time.Sleep(2 * time.Second)
 				lost := 0
 				for _, un := range st.Servers {
 					if un.Killed() {
