See a cut request even if the caller's next entry answers

The rolling restart passed with a process that ended without draining, since callers went on to the next entry. The test now counts sends without a reply: none with the planned stop, one at the first restart without it.

--- a/internal/node/entryvm/failures_test.go
+++ b/internal/node/entryvm/failures_test.go
@@ -143,6 +143,7 @@
 			for _, rs := range sm.end() {
 				assert.NilError(t, rs.err)
 				assert.Equal(t, string(rs.Outcome()), "whole", "%+v", rs.Refusal)
+				assert.Equal(t, rs.Failures, 0, "a request was cut")
 			}
 		}
 		checkConnections(t, st)
--- a/internal/peer/caller/client.go
+++ b/internal/peer/caller/client.go
@@ -52,6 +52,8 @@
 	Entry string
 	// Took is from the first send to the end.
 	Took time.Duration
+	// Failures counts the entries that gave no reply before Entry did.
+	Failures int
 }
 
 // Outcome returns the outcome in either case.
@@ -157,9 +159,13 @@
 	}
 	var last Result
 	var lastErr error
+	failures := 0
 	for _, en := range entries {
 		last, lastErr = cl.send(ctx, en.Address, team, route, rq)
-		last.Took = time.Since(startedAt)
+		last.Took, last.Failures = time.Since(startedAt), failures
+		if lastErr != nil {
+			failures++
+		}
 		if lastErr == nil && !triesNext(last) {
 			return last, nil
 		}
