Keep a revision's hash when its text is not valid UTF-8

Cause, found by FuzzSetting: the hash of a setting was that of its decoded and encoded text, which differs from the stored text where that is not valid UTF-8, so that a receipt's hash led to no revision. Change: the hash is of the text as stored.

--- a/internal/world/contract/settings.go
+++ b/internal/world/contract/settings.go
@@ -155,8 +155,12 @@
 	encoder.SetEscapeHTML(false)
 	// A struct of strings and a time always encodes.
 	_ = encoder.Encode(rv)
-	sum := sha256.Sum256(buffer.Bytes())
-	return buffer.String(), hex.EncodeToString(sum[:])
+	return buffer.String(), hashText(buffer.String())
+}
+
+func hashText(text string) string {
+	sum := sha256.Sum256([]byte(text))
+	return hex.EncodeToString(sum[:])
 }
 
 // Setting is a revision as it stands under its path.
@@ -181,8 +185,9 @@
 	if rv.Path != path {
 		return nil, fmt.Errorf("revision of %s stands under %s", rv.Path, path)
 	}
-	_, hash := rv.Encode()
-	st := &Setting{Revision: rv, Hash: hash, Version: version}
+	// The hash is of the text as it stands: a text that is not valid UTF-8
+	// would be another one when encoded again.
+	st := &Setting{Revision: rv, Hash: hashText(value), Version: version}
 	if err := st.parseBody(); err != nil {
 		return nil, err
 	}
