--- a/internal/peer/backend/client.go
+++ b/internal/peer/backend/client.go
@@ -216,7 +216,7 @@
 // checkSilent cuts a request off when its link is silent while the server
 // answers, or does not answer either, on another one.
 func (cl *Client) checkSilent(ctx context.Context, pl *pool, cn *conn, sentAt time.Time, limit time.Duration, cut context.CancelCauseFunc) {
-	if ctx.Err() != nil || cn.LastRead.Load() > sentAt.UnixNano() {
+	if ctx.Err() != nil || !cn.IsSilent(sentAt) {
 		return
 	}
 	startedAt := time.Now()
@@ -245,7 +245,7 @@
 		cut(errSilent)
 		return
 	}
-	if cn.LastRead.Load() <= sentAt.UnixNano() {
+	if cn.IsSilent(sentAt) {
 		cl.condemn(startedAt, pl)
 		cut(errSilent)
 	}
--- a/internal/peer/entry/cluster.go
+++ b/internal/peer/entry/cluster.go
@@ -14,7 +14,6 @@
 
 	"daisystage.example/daisystage/internal/container/rcu"
 	"daisystage.example/daisystage/internal/node/events"
-	"daisystage.example/daisystage/internal/peer/platform"
 	"daisystage.example/daisystage/internal/wire/entrypb"
 	"daisystage.example/daisystage/internal/world/contract"
 	"daisystage.example/daisystage/internal/world/machine"
@@ -307,94 +306,6 @@
 	}
 }
 
-// answered takes in the answer of a peer to a heartbeat sent at a time. The
-// answer was made after that, so what it says counts from sentAt.
-func (cr *Cluster) answered(ctx context.Context, sentAt time.Time, address string, reply *entrypb.Heartbeat) {
-	vw := cr.Views.Load()
-	same := reply.Digest == vw.Digest
-	behind := vw.Had(reply.Version, reply.Digest)
-	if !same && !behind && cr.mustPull(sentAt, reply) {
-		same = cr.pull(ctx, address, reply)
-	}
-	if same && reply.Confirmed {
-		cr.Confirmation.Heard(sentAt.Add(-time.Duration(reply.ConfirmedMs) * time.Millisecond))
-	}
-	cr.members.Update(func(old members) members {
-		mb, ok := old[reply.Sender.Name]
-		if !ok {
-			return old
-		}
-		next := maps.Clone(old)
-		mb.AnsweredAt, mb.PlatformDown = sentAt, reply.PlatformDown
-		mb.Mismatches++
-		if same || behind {
-			mb.Mismatches = 0
-		}
-		next[reply.Sender.Name] = mb
-		return next
-	})
-}
-
-// mustPull reports whether a difference is not just the platform's own watch
-// being a moment behind.
-func (cr *Cluster) mustPull(now time.Time, reply *entrypb.Heartbeat) bool {
-	mb := (*cr.members.Load())[reply.Sender.Name]
-	return mb.Mismatches > 0 || now.Sub(cr.Confirmation.AsOf()) > watchLag
-}
-
-// pull takes the objects that a peer has and this process lacks, and reports
-// whether the views are the same then.
-func (cr *Cluster) pull(ctx context.Context, address string, reply *entrypb.Heartbeat) bool {
-	mb := (*cr.members.Load())[reply.Sender.Name]
-	after := cr.Views.Load().Version
-	switch {
-	case mb.Mismatches >= fullPullAfter:
-		after = 0
-	case mb.Mismatches > 0:
-		after = max(min(after, reply.Version)-pullOverlap, 0)
-	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), pullTimeout)
-	defer cancel()
-	pulled, err := cr.Transport.Pull(ctx, address, &entrypb.PullRequest{After: after})
-	if err != nil {
-		events.PeerFailed.Log(cr.Log, zap.String("address", address), zap.Error(err))
-		return false
-	}
-	before := cr.Views.Load().Digest
-	platform.Apply(cr.Views, cr.Log, newerOf(cr.Views.Load(), pulled.Objects))
-	digest := cr.Views.Load().Digest
-	if digest != before {
-		events.PeerPulled.Log(cr.Log, zap.String("peer", reply.Sender.Name), zap.Int64("version", pulled.Version))
-	}
-	return digest == reply.Digest
-}
-
-// newerOf returns the objects that are newer than those of the view.
-func newerOf(vw *view.View, pulled []*entrypb.Object) []view.Object {
-	var newer []view.Object
-	for _, ob := range pulled {
-		have, ok := vw.Objects.Get(ob.Key)
-		if !ok || ob.Version > have.Version {
-			newer = append(newer, view.Object{Key: ob.Key, Version: ob.Version, Value: ob.Value, Deleted: ob.Deleted})
-		}
-	}
-	return newer
-}
-
-// HandlePull returns the objects that a peer asks for.
-func (cr *Cluster) HandlePull(rq *entrypb.PullRequest) *entrypb.PullReply {
-	vw := cr.Views.Load()
-	reply := &entrypb.PullReply{Version: vw.Version}
-	for _, ob := range vw.Objects.All() {
-		if ob.Version > rq.After {
-			reply.Objects = append(reply.Objects, &entrypb.Object{
-				Key: ob.Key, Version: ob.Version, Value: ob.Value, Deleted: ob.Deleted,
-			})
-		}
-	}
-	return reply
-}
-
 // forget drops members that were not heard for long and logs the silent ones.
 func (cr *Cluster) forget(now time.Time) {
 	for name, mb := range *cr.members.Load() {
@@ -412,31 +323,6 @@
 	}
 }
 
-// judgeFrozen keeps the view confirmed while the platform answers nobody: most
-// entry VMs say so, one of them in another zone, and all have the same view.
-func (cr *Cluster) judgeFrozen(now time.Time) {
-	if !cr.PlatformDown() {
-		return
-	}
-	vw := cr.Views.Load()
-	if vw.Version == 0 {
-		return
-	}
-	digest := vw.Digest
-	known := *cr.members.Load()
-	agree, elsewhere := 1, false
-	for _, mb := range known {
-		heard := now.Sub(mb.AnsweredAt) <= agreeWithin
-		if heard && mb.PlatformDown && mb.Digest == digest {
-			agree++
-			elsewhere = elsewhere || mb.Zone != cr.Self.Zone
-		}
-	}
-	if elsewhere && 2*agree > len(known)+1 {
-		cr.Confirmation.Frozen(now.Add(frozenFor))
-	}
-}
-
 func ageOf(now, then time.Time) uint32 {
 	return uint32(min(max(now.Sub(then).Milliseconds(), 0), 1<<31))
 }
--- a/internal/query/scatter/gather.go
+++ b/internal/query/scatter/gather.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -118,65 +117,6 @@
 	ga.wait(ctx, func() bool { return ga.waiting == 0 })
 }
 
-// runFirst makes sure that a request which was not seen before runs alone, on
-// one server, until it was answered. It reports whether the parts that are left
-// may be sent.
-func (ga *gather[R, H]) runFirst(ctx context.Context) bool {
-	quarantine := ga.query.Quarantine
-	for !quarantine.IsProven(ga.rq.Fingerprint) {
-		if quarantine.Bars(time.Now(), ga.rq.Fingerprint) {
-			ga.giveUpAll(contract.CauseQuarantined)
-			return false
-		}
-		done, leads := quarantine.Lead(ga.rq.Fingerprint)
-		if leads {
-			defer done.End()
-			return ga.runCanary(ctx, time.Now())
-		}
-		select {
-		case <-done.Ended:
-		case <-ctx.Done():
-			ga.stop()
-			return false
-		}
-	}
-	return true
-}
-
-// runCanary sends one part alone and reports whether the others may follow. The
-// part is a random one, so that repeated sends do not take all replicas of one
-// shard.
-func (ga *gather[R, H]) runCanary(ctx context.Context, now time.Time) bool {
-	at := rand.IntN(len(ga.parts))
-	first := &ga.parts[at]
-	ga.start(ctx, now, at)
-	if ga.rq.Setting.Route.Canary == contract.CanaryBrief {
-		ga.wakeAt = now.Add(max(ga.rq.Setting.State.Latency.Recent().P50, minHedgeWait))
-	}
-	ga.wait(ctx, func() bool { return first.over || ga.wakeIsOver(time.Now()) })
-	ga.wakeAt = time.Time{}
-	if ga.vanished || ctx.Err() != nil {
-		return false
-	}
-	if !first.over || first.answered || ga.query.Quarantine.Count(time.Now(), ga.rq.Fingerprint) == 0 {
-		return true
-	}
-	ga.giveUpAll(contract.CauseQuarantined)
-	return false
-}
-
-func (ga *gather[R, H]) giveUpAll(cause contract.Cause) {
-	for i := range ga.parts {
-		if !ga.parts[i].over {
-			ga.giveUp(i, cause)
-		}
-	}
-}
-
-func (ga *gather[R, H]) wakeIsOver(now time.Time) bool {
-	return !ga.wakeAt.IsZero() && !now.Before(ga.wakeAt)
-}
-
 // nextWake returns the time at which wait has something to do, if there is one.
 func (ga *gather[R, H]) nextWake() (time.Time, bool) {
 	next, found := ga.nextHedge()
@@ -372,48 +312,6 @@
 	ga.query.Quarantine.Proved(ga.rq.Fingerprint)
 }
 
-// retry sends a part again if that is safe, within the budget and of use.
-func (ga *gather[R, H]) retry(ctx context.Context, now time.Time, at int, cause contract.Cause, notRun bool) {
-	pt := &ga.parts[at]
-	rt := ga.rq.Setting.Route
-	if !rt.Idempotent && !notRun {
-		ga.giveUp(at, cause)
-		return
-	}
-	if cause == contract.CauseLinkBroken && ga.query.Quarantine.Count(now, ga.rq.Fingerprint) > 0 {
-		ga.careful = true
-	}
-	if ga.careful && !notRun {
-		ga.giveUp(at, cause)
-		return
-	}
-	sv := ga.choose(now, pt, "")
-	if sv == nil {
-		ga.vanished = ga.vanished || cause == contract.CauseSnapshotLost && ga.restartHelps(now)
-		ga.giveUp(at, cause)
-		return
-	}
-	if addsLoad(cause) && !ga.rq.Setting.State.Retries.TrySpend(now) {
-		ga.giveUp(at, cause)
-		return
-	}
-	ga.send(ctx, now, at, sv, false)
-}
-
-// restartHelps reports whether there is another snapshot and time to answer
-// from it.
-func (ga *gather[R, H]) restartHelps(now time.Time) bool {
-	rt := ga.rq.Setting.Route
-	usual := ga.rq.Setting.State.Latency.Recent().P99
-	return ga.mayRestart && rt.Idempotent && ga.rq.AnswerBy.Sub(now) > usual
-}
-
-// addsLoad reports whether a retry after the cause adds load: a server that
-// lost the snapshot or leaves did no work, and is not asked again for a while.
-func addsLoad(cause contract.Cause) bool {
-	return cause != contract.CauseSnapshotLost && cause != contract.CauseDraining
-}
-
 func (ga *gather[R, H]) giveUp(at int, cause contract.Cause) {
 	ga.parts[at].record.Cause = cause
 	ga.end(&ga.parts[at])
@@ -428,52 +326,6 @@
 	}
 }
 
-// nextHedge returns the earliest time at which a part is due for a hedge.
-func (ga *gather[R, H]) nextHedge() (time.Time, bool) {
-	if !ga.hedging || ga.careful {
-		return time.Time{}, false
-	}
-	var earliest time.Time
-	found := false
-	for i := range ga.parts {
-		pt := &ga.parts[i]
-		if !pt.mayHedge() {
-			continue
-		}
-		if !found || pt.hedgeAt.Before(earliest) {
-			earliest, found = pt.hedgeAt, true
-		}
-	}
-	return earliest, found
-}
-
-func (pt *partState) mayHedge() bool {
-	return !pt.over && len(pt.open) == 1 && pt.record.Hedges == 0
-}
-
-// hedge sends a second attempt for each part that is due, while the budget
-// lasts.
-func (ga *gather[R, H]) hedge(ctx context.Context, now time.Time) {
-	for i := range ga.parts {
-		pt := &ga.parts[i]
-		if !pt.mayHedge() || now.Before(pt.hedgeAt) {
-			continue
-		}
-		sv := ga.choose(now, pt, pt.open[0].server.Zone)
-		if sv == nil || !sv.HasRoom() {
-			// Full replicas may be overload, where a hedge does harm.
-			pt.hedgeAt = now.Add(max(ga.hedgeAfter/2, minHedgeWait))
-			continue
-		}
-		if !ga.rq.Setting.State.Hedges.TrySpend(now) {
-			ga.hedging = false
-			return
-		}
-		pt.record.Hedges = 1
-		ga.send(ctx, now, i, sv, true)
-	}
-}
-
 // stop gives up all parts that wait.
 func (ga *gather[R, H]) stop() {
 	for i := range ga.parts {
--- a/internal/standin/network/network.go
+++ b/internal/standin/network/network.go
@@ -168,7 +168,7 @@
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
-	if err := sleep(ctx, 2*nw.delay(path)); err != nil {
+	if err := Sleep(ctx, 2*nw.delay(path)); err != nil {
 		return nil, err
 	}
 	near, nearInner := net.Pipe()
@@ -238,7 +238,8 @@
 	}
 }
 
-func sleep(ctx context.Context, duration time.Duration) error {
+// Sleep waits for a time unless the context ends first, whose error it returns.
+func Sleep(ctx context.Context, duration time.Duration) error {
 	timer := time.NewTimer(duration)
 	defer timer.Stop()
 	select {
--- a/internal/standin/platform/faults.go
+++ b/internal/standin/platform/faults.go
@@ -10,6 +10,7 @@
 	"time"
 
 	product "daisystage.example/daisystage/internal/peer/platform"
+	"daisystage.example/daisystage/internal/standin/network"
 	"daisystage.example/daisystage/internal/world/view"
 )
 
@@ -100,14 +101,7 @@
 	if millis == 0 {
 		return nil
 	}
-	timer := time.NewTimer(time.Duration(millis) * time.Millisecond)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return network.Sleep(ctx, time.Duration(millis)*time.Millisecond)
 }
 
 // loses reports whether the answer of a write that took effect is lost.
--- a/internal/standin/server/server.go
+++ b/internal/standin/server/server.go
@@ -17,6 +17,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"daisystage.example/daisystage/internal/peer/backend"
+	"daisystage.example/daisystage/internal/standin/network"
 	"daisystage.example/daisystage/internal/wire/backendapi"
 )
 
@@ -175,7 +176,7 @@
 	if faults.Late {
 		work = time.Until(deadline) + time.Millisecond
 	}
-	if err := sleep(ctx, work); err != nil {
+	if err := network.Sleep(ctx, work); err != nil {
 		return nil, err
 	}
 	return sr.answer(faults, pt), nil
@@ -340,14 +341,3 @@
 	}
 	return routes, nil
 }
-
-func sleep(ctx context.Context, duration time.Duration) error {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/world/link/link.go
+++ b/internal/world/link/link.go
@@ -29,13 +29,9 @@
 	Written atomic.Int64
 }
 
-// Suspect reports whether a request sent at sentAt has waited for its first
-// byte so long that the link may be dead. p99 is the service's own.
-func (ln *Link) Suspect(now, sentAt time.Time, p99 time.Duration) bool {
-	if ln.LastRead.Load() > sentAt.UnixNano() {
-		return false
-	}
-	return now.Sub(sentAt) >= SilentAfter(p99)
+// IsSilent reports whether no byte came since a request was sent.
+func (ln *Link) IsSilent(sentAt time.Time) bool {
+	return ln.LastRead.Load() <= sentAt.UnixNano()
 }
 
 // Expired reports whether the link was unused for so long that it may have
