--- a/internal/node/entryvm/measure_test.go
+++ b/internal/node/entryvm/measure_test.go
@@ -122,6 +122,7 @@
 		fg.platformCalls = st.Store.Calls.Load() - callsBefore
 		asked := float64(sc.rate) * sc.length.Seconds() * (1 - fg.refused) * float64(plan.Shards)
 		fg.extra = float64(totalRuns(st)-runsBefore)/asked - 1
+		assert.Equal(t, fg.wrong, 0)
 	})
 	return fg
 }
