--- /dev/null
+++ b/cmd/daisystage/pause_test.go
@@ -0,0 +1,54 @@
+package main
+
+import (
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"daisystage.example/daisystage/internal/peer/caller"
+	"daisystage.example/daisystage/internal/peer/platform"
+	"daisystage.example/daisystage/internal/world/contract"
+)
+
+// TestPausedProcessServesNoOldSettings stops a process while a setting changes.
+// Requests wait for it in its sockets; when it goes on it refuses them or has the
+// change in force.
+func TestPausedProcessServesNoOldSettings(t *testing.T) {
+	wd := newWorld(t, 3, 2)
+	path := contract.RoutePath("gaisma", "find")
+	chain, err := platform.LogSetting(t.Context(), wd.store, path, 1)
+	assert.NilError(t, err)
+	wd.signal("entry-0", syscall.SIGSTOP)
+	changed, err := platform.PutSetting(t.Context(), wd.store, contract.Revision{
+		Path: path, Body: "collection = \"lessons\"\ndeadline = \"19s\"\n", Previous: chain[0].Hash,
+		ChangeID: "while paused", Author: "liga", Reason: "test",
+	})
+	assert.NilError(t, err)
+	const requests = 10
+	results := make([]caller.Result, requests)
+	var sends sync.WaitGroup
+	for at := range requests {
+		sends.Go(func() {
+			client := caller.NewClient(&http.Client{Timeout: watchdog}, "", nil)
+			client.Only(wd.callers["entry-0"])
+			results[at], _ = client.Query(t.Context(), "gaisma", "find", newID(), []byte(`{"text":"paused"}`), 0)
+		})
+	}
+	// Longer than word from the platform holds.
+	time.Sleep(8 * time.Second)
+	wd.signal("entry-0", syscall.SIGCONT)
+	sends.Wait()
+	for _, rs := range results {
+		if rs.Answer != nil {
+			assert.Equal(t, rs.Answer.Settings.Version, changed.Version)
+			continue
+		}
+		assert.Assert(t, rs.Refusal != nil)
+		assert.Equal(t, rs.Refusal.Code, string(contract.CodeIsolated))
+	}
+	wd.waitReady(2)
+}
--- a/internal/node/entryvm/bench_test.go
+++ b/internal/node/entryvm/bench_test.go
@@ -1,7 +1,9 @@
 package entryvm_test
 
 import (
+	"encoding/json"
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -37,3 +39,35 @@
 	b.ReportMetric(float64(hg.ValueAtQuantile(50))/1000, "p50-ms")
 	b.ReportMetric(float64(hg.ValueAtQuantile(99))/1000, "p99-ms")
 }
+
+// BenchmarkDump measures the dump of a process that answers requests meanwhile.
+func BenchmarkDump(b *testing.B) {
+	plan := site.Gaisma()
+	plan.Work, plan.ConnectCost = 0, 0
+	st, end, err := site.Start(b.Context(), time.Now(), plan, site.NewLoopback(), zap.NewNop())
+	assert.NilError(b, err)
+	defer end()
+	client, _ := st.Caller()
+	stop := make(chan struct{})
+	var load sync.WaitGroup
+	load.Go(func() {
+		for at := 0; ; at++ {
+			select {
+			case <-stop:
+				return
+			default:
+			}
+			body := fmt.Sprintf(`{"text":"lesson %d"}`, at)
+			_, _ = client.Query(b.Context(), plan.Team, "find", uuid.Must(uuid.NewV7()), []byte(body), 0)
+		}
+	})
+	bytes := 0
+	for b.Loop() {
+		text, err := json.Marshal(st.EntryVM(0).State(time.Now()))
+		assert.NilError(b, err)
+		bytes = len(text)
+	}
+	b.ReportMetric(float64(bytes), "B/dump")
+	close(stop)
+	load.Wait()
+}
