Do not take a broken link for a lost server

A server that answers twice makes the HTTP library close the idle link; a request that was just written to it looked like one that had crashed the server. Ruled out: the doubled answers themselves (they are recognised). Change: after a broken link the server is asked on a new one; if it answers, the request is not suspected.

--- a/internal/node/entryvm/answers_test.go
+++ b/internal/node/entryvm/answers_test.go
@@ -224,7 +224,7 @@
 			for _, rs := range sm.end() {
 				assert.NilError(t, rs.err)
 				if rs.Refusal != nil {
-					assert.Equal(t, rs.Refusal.Outcome, "not_run", "%+v", rs.Refusal)
+					assert.Equal(t, string(rs.Refusal.Outcome), "not_run", "%+v", rs.Refusal)
 					continue
 				}
 				checkAnswer(t, manifests, rs.query, rs.Result)
--- a/internal/node/entryvm/failures_test.go
+++ b/internal/node/entryvm/failures_test.go
@@ -188,13 +188,14 @@
 				}
 				// Other requests go on after the servers are lost.
 				time.Sleep(2 * time.Second)
-				lost := 0
-				for _, un := range st.Servers {
+				var lost []string
+				for name, un := range st.Servers {
 					if un.Killed() {
-						lost++
+						lost = append(lost, name)
 					}
 				}
-				assert.Assert(t, lost <= tt.most, "%d servers lost", lost)
+				t.Logf("lost %v", lost)
+				assert.Assert(t, len(lost) <= tt.most, "%v lost", lost)
 				onlyWhole(t, countOutcomes(t, st, sm.end()))
 			})
 		})
--- a/internal/node/entryvm/process.go
+++ b/internal/node/entryvm/process.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -170,7 +171,7 @@
 		Name: ps.Config.Name, Zone: ps.Config.Zone,
 		Views: ps.Views, Confirmation: ps.Confirmation, Quarantine: ps.Quarantine,
 		Scatter: &scatter.Query[scatter.LeastExpected, scatter.QuantileHedge]{
-			Sender: ps.Backend, Zone: ps.zone(), Quarantine: ps.Quarantine, Crashed: ps.crashed,
+			Sender: ps.Backend, Zone: ps.zone(), Quarantine: ps.Quarantine, Crashed: ps.crashed, Rank: ps.rank,
 		},
 		Claims: claims, Receipts: ps.ring, Keep: ps.Receipts.Keep, Observer: &observer{ps.Metrics, ps.Log},
 	}
@@ -181,6 +182,11 @@
 	}
 }
 
+// rank returns the place of this entry VM among all, by name.
+func (ps *Process) rank(now time.Time) int {
+	return slices.IndexFunc(ps.Cluster.Members(now), func(vm machine.EntryVM) bool { return vm.Name == ps.Config.Name })
+}
+
 // crashed is told of servers lost to a request.
 func (ps *Process) crashed(now time.Time, fingerprint uint64, server string) {
 	events.ServerLost.Log(ps.Log, zap.Uint64("fingerprint", fingerprint), zap.String("server", server))
--- a/internal/peer/backend/client.go
+++ b/internal/peer/backend/client.go
@@ -32,6 +32,9 @@
 	// pollsPerSecond bounds the readings of one process; with more servers
 	// each of them is read less often.
 	pollsPerSecond = 40
+	// lostTimeout is how long a server whose link broke has to answer on a new
+	// one.
+	lostTimeout = 200 * time.Millisecond
 	// massSilence is the number of servers whose links go silent within
 	// massWindow from which the links of all are given up.
 	massSilence = 3
@@ -181,7 +184,31 @@
 		return refusal(refused)
 	}
 	pl.discard(cn)
-	return &contract.PartError{Cause: causeOf(ctx), NotRun: !written, Err: err}
+	cause := causeOf(ctx)
+	if cause == contract.CauseLinkBroken && cl.answers(ctx, pl) {
+		cause = contract.CauseLinkReset
+	}
+	return &contract.PartError{Cause: cause, NotRun: !written, Err: err}
+}
+
+// answers reports whether a server answers on a new link, so that a broken one
+// is no sign that the server was lost.
+func (cl *Client) answers(ctx context.Context, pl *pool) bool {
+	if !pl.tryOpen(pl.share.Load()) {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, lostTimeout)
+	defer cancel()
+	fresh, err := pl.connect(ctx)
+	if err != nil {
+		return false
+	}
+	if _, err := fresh.client.GetHealth(ctx); err != nil {
+		pl.discard(fresh)
+		return false
+	}
+	pl.give(time.Now(), fresh)
+	return true
 }
 
 func causeOf(ctx context.Context) contract.Cause {
--- a/internal/query/scatter/canary.go
+++ b/internal/query/scatter/canary.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"daisystage.example/daisystage/internal/world/contract"
@@ -33,11 +32,9 @@
 	return true
 }
 
-// runCanary sends one part alone and reports whether the others may follow. The
-// part is a random one, so that repeated sends do not take all replicas of one
-// shard.
+// runCanary sends one part alone and reports whether the others may follow.
 func (ga *gather[R, H]) runCanary(ctx context.Context, now time.Time) bool {
-	at := rand.IntN(len(ga.parts))
+	at := ga.canaryPart(now)
 	first := &ga.parts[at]
 	ga.start(ctx, now, at)
 	if ga.rq.Setting.Route.Canary == contract.CanaryBrief {
@@ -55,6 +52,17 @@
 	return false
 }
 
+// canaryPart chooses the part by the request and the place of the entry VM, so
+// that no shard loses all its replicas to entry VMs that race.
+func (ga *gather[R, H]) canaryPart(now time.Time) int {
+	rank := 0
+	if ga.query.Rank != nil {
+		rank = ga.query.Rank(now)
+	}
+	shards := uint64(len(ga.parts))
+	return int((ga.rq.Fingerprint%shards + uint64(rank)) % shards)
+}
+
 func (ga *gather[R, H]) giveUpAll(cause contract.Cause) {
 	for i := range ga.parts {
 		if !ga.parts[i].over {
--- a/internal/query/scatter/gather.go
+++ b/internal/query/scatter/gather.go
@@ -259,7 +259,7 @@
 		sv.State.MarkLeaving(now)
 	case contract.CauseSnapshotLost:
 		sv.State.Lose(now, ga.manifest.ID)
-	case contract.CauseDialFailed, contract.CauseLinkBroken, contract.CauseMismatched:
+	case contract.CauseDialFailed, contract.CauseLinkBroken, contract.CauseLinkReset, contract.CauseMismatched:
 		sv.State.Failed(now)
 	}
 	// A request that was answered before does not crash servers.
--- a/internal/query/scatter/scatter.go
+++ b/internal/query/scatter/scatter.go
@@ -89,6 +89,9 @@
 	Sender     Sender
 	Zone       zone.Zone
 	Quarantine *contract.Quarantine
+	// Rank returns the place of this entry VM among all; it may be nil. Entry
+	// VMs that race with one request take different shards first.
+	Rank func(now time.Time) int
 	// Crashed is told of servers newly lost to a fingerprint; it may be nil.
 	Crashed func(now time.Time, fingerprint uint64, server string)
 }
--- a/internal/world/contract/outcome.go
+++ b/internal/world/contract/outcome.go
@@ -84,6 +84,7 @@
 	CauseDialFailed   Cause = "dial_failed"
 	CauseNoLink       Cause = "no_link"
 	CauseLinkBroken   Cause = "link_broken"
+	CauseLinkReset    Cause = "link_reset"
 	CauseLinkSilent   Cause = "link_silent"
 	CauseMismatched   Cause = "answer_mismatched"
 	CauseShed         Cause = "shed"
