--- a/internal/query/scatter/canary.go
+++ b/internal/query/scatter/canary.go
@@ -17,13 +17,13 @@
 			ga.giveUpAll(contract.CauseQuarantined)
 			return false
 		}
-		done, leads := quarantine.Lead(ga.rq.Fingerprint)
+		flight, leads := quarantine.Lead(ga.rq.Fingerprint)
 		if leads {
-			defer done.End()
+			defer flight.End()
 			return ga.runCanary(ctx, time.Now())
 		}
 		select {
-		case <-done.Ended:
+		case <-flight.Ended:
 		case <-ctx.Done():
 			ga.stop()
 			return false
