--- a/internal/node/entryvm/bench_test.go
+++ b/internal/node/entryvm/bench_test.go
@@ -15,14 +15,21 @@
 	"daisystage.example/daisystage/internal/standin/site"
 )
 
-// BenchmarkQueryLoopback measures a request over 30 shards on loopback, servers
-// and entry VMs in one process, the servers without work.
-func BenchmarkQueryLoopback(b *testing.B) {
+// startIdle starts a site on loopback whose servers answer without work.
+func startIdle(b *testing.B) *site.Site {
+	b.Helper()
 	plan := site.Gaisma()
 	plan.Work, plan.ConnectCost = 0, 0
 	st, end, err := site.Start(b.Context(), time.Now(), plan, site.NewLoopback(), zap.NewNop())
 	assert.NilError(b, err)
-	defer end()
+	b.Cleanup(end)
+	return st
+}
+
+// BenchmarkQueryLoopback measures a request over 30 shards on loopback, servers
+// and entry VMs in one process, the servers without work.
+func BenchmarkQueryLoopback(b *testing.B) {
+	st := startIdle(b)
 	client, _ := st.Caller()
 	hg := hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)
 	at := 0
@@ -31,7 +38,7 @@
 		at++
 		startedAt := time.Now()
 		body := fmt.Sprintf(`{"text":"lesson %d"}`, at)
-		rs, err := client.Query(b.Context(), plan.Team, "find", uuid.Must(uuid.NewV7()), []byte(body), 0)
+		rs, err := client.Query(b.Context(), st.Plan.Team, "find", uuid.Must(uuid.NewV7()), []byte(body), 0)
 		assert.NilError(b, err)
 		assert.Equal(b, string(rs.Outcome()), "whole")
 		assert.NilError(b, hg.RecordValue(time.Since(startedAt).Microseconds()))
@@ -42,11 +49,7 @@
 
 // BenchmarkDump measures the dump of a process that answers requests meanwhile.
 func BenchmarkDump(b *testing.B) {
-	plan := site.Gaisma()
-	plan.Work, plan.ConnectCost = 0, 0
-	st, end, err := site.Start(b.Context(), time.Now(), plan, site.NewLoopback(), zap.NewNop())
-	assert.NilError(b, err)
-	defer end()
+	st := startIdle(b)
 	client, _ := st.Caller()
 	stop := make(chan struct{})
 	var load sync.WaitGroup
@@ -58,7 +61,7 @@
 			default:
 			}
 			body := fmt.Sprintf(`{"text":"lesson %d"}`, at)
-			_, _ = client.Query(b.Context(), plan.Team, "find", uuid.Must(uuid.NewV7()), []byte(body), 0)
+			_, _ = client.Query(b.Context(), st.Plan.Team, "find", uuid.Must(uuid.NewV7()), []byte(body), 0)
 		}
 	})
 	bytes := 0
