--- a/cmd/daisystage/main.go
+++ b/cmd/daisystage/main.go
@@ -47,6 +47,7 @@
 	exited := -1
 	app.Terminate(func(code int) { exited = code })
 	addServe(app, tl)
+	addForward(app, tl)
 	addCheck(app, tl)
 	addSettings(app, tl)
 	addQuery(app, tl)
--- a/cmd/daisystage/serve.go
+++ b/cmd/daisystage/serve.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	stdlog "log"
 	"os"
 	"os/signal"
@@ -35,7 +36,7 @@
 	if err != nil {
 		return usageError{err}
 	}
-	log, err := newLogger(cg, tl)
+	log, err := newLogger(cg.LogLevel, cg.LogFormat, tl.err)
 	if err != nil {
 		return err
 	}
@@ -63,8 +64,9 @@
 	return len(line), nil
 }
 
-func newLogger(cg entryvm.Config, tl tool) (*zap.Logger, error) {
-	level, err := zapcore.ParseLevel(cg.LogLevel)
+// newLogger returns a log of a level and a format, "json" or "console".
+func newLogger(level, format string, to io.Writer) (*zap.Logger, error) {
+	parsed, err := zapcore.ParseLevel(level)
 	if err != nil {
 		return nil, fmt.Errorf("log_level: %w", err)
 	}
@@ -72,8 +74,8 @@
 	encoding.EncodeTime = zapcore.RFC3339NanoTimeEncoder
 	encoding.MessageKey, encoding.TimeKey = "name", "at"
 	encoder := zapcore.NewJSONEncoder(encoding)
-	if cg.LogFormat == "console" {
+	if format == "console" {
 		encoder = zapcore.NewConsoleEncoder(encoding)
 	}
-	return zap.New(zapcore.NewCore(encoder, zapcore.Lock(zapcore.AddSync(tl.err)), level)), nil
+	return zap.New(zapcore.NewCore(encoder, zapcore.Lock(zapcore.AddSync(to)), parsed)), nil
 }
--- a/internal/node/entryvm/process.go
+++ b/internal/node/entryvm/process.go
@@ -241,7 +241,10 @@
 func (ps *Process) run() {
 	ctx, cancel := context.WithCancel(context.Background())
 	ps.cancel = cancel
-	watcher := &platform.Watcher{Store: ps.Platform, Views: ps.Views, Confirmation: ps.Confirmation, Log: ps.Log}
+	watcher := &platform.Watcher{
+		Store: ps.Platform, Prefixes: view.Prefixes(), Pace: platform.Pace{}.Defaults(), Log: ps.Log,
+		Target: platform.ViewTarget{Views: ps.Views, Confirmation: ps.Confirmation, Log: ps.Log},
+	}
 	for _, task := range []func(context.Context){
 		watcher.Run,
 		ps.Cluster.Run,
--- a/internal/node/entryvm/upkeep.go
+++ b/internal/node/entryvm/upkeep.go
@@ -42,7 +42,7 @@
 		ps.logLeaving(now, leaving)
 		if vw := ps.Views.Load(); vw.Version != version {
 			version = vw.Version
-			ps.Backend.Forget(ps.knowsAddress())
+			ps.Backend.Forget(ps.knowsServer)
 		}
 	}
 }
@@ -81,12 +81,9 @@
 	return count
 }
 
-func (ps *Process) knowsAddress() func(address string) bool {
-	addresses := map[string]bool{}
-	for _, sv := range ps.Views.Load().Servers.All() {
-		addresses[sv.Address] = true
-	}
-	return func(address string) bool { return addresses[address] }
+func (ps *Process) knowsServer(name, address string) bool {
+	sv, ok := ps.Views.Load().Servers.Get(name)
+	return ok && sv.Address == address
 }
 
 func (ps *Process) knownServers() []*machine.Server {
--- a/internal/node/events/events.go
+++ b/internal/node/events/events.go
@@ -29,6 +29,9 @@
 	Draining = Event{103, "draining", zapcore.InfoLevel}
 	Stopped  = Event{104, "stopped", zapcore.InfoLevel}
 	Paused   = Event{105, "paused", zapcore.WarnLevel}
+	CutShort = Event{106, "stop_cut_short", zapcore.ErrorLevel}
+	Reloaded = Event{107, "settings_reloaded", zapcore.InfoLevel}
+	NoReload = Event{108, "settings_not_reloaded", zapcore.ErrorLevel}
 
 	WatchFailed     = Event{201, "watch_failed", zapcore.WarnLevel}
 	OlderObject     = Event{202, "older_object_refused", zapcore.WarnLevel}
@@ -55,16 +58,17 @@
 
 	SettingAccepted = Event{601, "setting_accepted", zapcore.InfoLevel}
 	SettingRefused  = Event{602, "setting_refused", zapcore.WarnLevel}
+	TableInForce    = Event{603, "table_in_force", zapcore.InfoLevel}
 )
 
 // All returns all events in the order of their numbers.
 func All() []Event {
 	return []Event{
-		Started, Leaving, Draining, Stopped, Paused,
+		Started, Leaving, Draining, Stopped, Paused, CutShort, Reloaded, NoReload,
 		WatchFailed, OlderObject, BadObject, StaleStore, ReceiptsDropped, ReceiptsFailed, ClaimsSwept,
 		PeerFailed, PeerJoined, PeerSilent, Isolated, Confirmed, PeerPulled,
 		ServerGone, ServerLost, Quarantined, Library,
 		AnswerPartial, AnswerRefused, AnswerUnknown,
-		SettingAccepted, SettingRefused,
+		SettingAccepted, SettingRefused, TableInForce,
 	}
 }
--- /dev/null
+++ b/internal/node/forwardvm/process.go
@@ -0,0 +1,275 @@
+package forwardvm
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/grpc"
+
+	"daisystage.example/daisystage/internal/container/rcu"
+	"daisystage.example/daisystage/internal/node/events"
+	"daisystage.example/daisystage/internal/peer/backend"
+	"daisystage.example/daisystage/internal/peer/entry"
+	"daisystage.example/daisystage/internal/peer/platform"
+	"daisystage.example/daisystage/internal/query/forward"
+	"daisystage.example/daisystage/internal/query/scatter"
+	"daisystage.example/daisystage/internal/world/contract"
+	"daisystage.example/daisystage/internal/world/machine"
+	"daisystage.example/daisystage/internal/world/view"
+	"daisystage.example/daisystage/internal/world/zone"
+)
+
+const (
+	// tendEvery is the time between two rounds of upkeep.
+	tendEvery = 200 * time.Millisecond
+	// slowRound is the number of rounds between two looks at all links.
+	slowRound = 5
+	// longestWatch is how long a watch waits. Links to the platform that went
+	// silent are found by keep-alives, not by its end.
+	longestWatch = 30 * time.Second
+	// watchPause gathers changes that come close together into one answer.
+	watchPause = 150 * time.Millisecond
+	// holdMargin is kept before the time by which a vanished server must get
+	// no more work, and longestHold bounds the hold.
+	holdMargin  = 700 * time.Millisecond
+	longestHold = 2500 * time.Millisecond
+	// stopReserve is kept before the end of a stop: callers are accepted until
+	// acceptReserve before it, and requests are given up finishReserve before
+	// it.
+	acceptReserve = 2500 * time.Millisecond
+	finishReserve = 600 * time.Millisecond
+	// idleTimeout closes callers' connections that nobody uses.
+	idleTimeout = 2 * time.Minute
+	// headerTimeout bounds the reading of one request's header.
+	headerTimeout = 10 * time.Second
+	// headerBytes bounds the header of one request.
+	headerBytes = 64 << 10
+	// zoneDelay stands in for the delay to other zones, which the settings do
+	// not tell.
+	zoneDelay = 4 * time.Millisecond
+	// suspectAt is the number of servers lost to a request from which it is
+	// refused: callers may send one that crashes servers three more times.
+	suspectAt = 3
+)
+
+// FrontEnd is what the process needs of a front end: how it reads the platform,
+// speaks to servers and answers callers.
+type FrontEnd struct {
+	Store   platform.Reader
+	Objects view.FleetCodec
+	Sender  func(cl *backend.Client, fleets *rcu.Value[view.Fleet]) scatter.Sender[forward.Send, forward.Answer]
+	Callers func(ps *Process) http.Handler
+	Ready   func(ps *Process) http.Handler
+	Places  func(ps *Process) http.Handler
+}
+
+// Process is the process of one entry VM. Make one with Start.
+type Process struct {
+	Config       Config
+	Service      *forward.Service
+	Cluster      *entry.Cluster
+	Fleets       *rcu.Value[view.Fleet]
+	Confirmation *view.Confirmation
+	Backend      *backend.Client
+	Log          *zap.Logger
+
+	// views tells peers the version in force.
+	views     *rcu.Value[view.View]
+	startedAt time.Time
+	leaving   atomic.Bool
+	servers   []*http.Server
+	grpc      *grpc.Server
+	// cancel ends the goroutines in work.
+	cancel   context.CancelFunc
+	work     sync.WaitGroup
+	cleanups []func()
+	stop     sync.Once
+}
+
+// Start starts a process. The function that it returns ends the process at
+// once; Stop ends it without cutting a request.
+func Start(now time.Time, cg Config, fe FrontEnd, log *zap.Logger) (*Process, func(), error) {
+	ps := &Process{
+		Config:       cg,
+		Fleets:       rcu.New(view.Fleet{}),
+		Confirmation: &view.Confirmation{},
+		Log:          log.With(zap.String("entry_vm", cg.Name), zap.String("zone", cg.Zone)),
+		views:        rcu.New(view.View{}),
+		startedAt:    now,
+	}
+	ps.build(now, fe)
+	if err := ps.listen(fe); err != nil {
+		ps.close()
+		return nil, nil, err
+	}
+	ps.run(fe)
+	events.Started.Log(ps.Log, zap.String("caller_address", cg.CallerAddress))
+	return ps, ps.close, nil
+}
+
+// dial makes connections whose silence shows within seconds.
+func dial(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := net.Dialer{KeepAliveConfig: LinkKeepAlive()}
+	return dialer.DialContext(ctx, network, address)
+}
+
+// LinkKeepAlive returns probes that show within three seconds that the other
+// end of an unused connection is gone.
+func LinkKeepAlive() net.KeepAliveConfig {
+	return net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
+}
+
+func (ps *Process) build(now time.Time, fe FrontEnd) {
+	cg := ps.Config
+	var endBackend func()
+	ps.Backend, endBackend = backend.New(dial)
+	ps.cleanups = append(ps.cleanups, endBackend)
+	quarantine := contract.NewQuarantine()
+	quarantine.SuspectAt, quarantine.BarAt = suspectAt, suspectAt
+	transport := &entry.GRPC{Dial: dial}
+	ps.cleanups = append(ps.cleanups, transport.Close)
+	ps.Cluster = &entry.Cluster{
+		Self: machine.EntryVM{
+			Name: cg.Name, Zone: cg.Zone, CallerAddress: cg.CallerAddress,
+			EntryAddress: cg.EntryAddress, Incarnation: uint64(now.UnixNano()),
+		},
+		Seeds: cg.Peers, Transport: transport, Views: ps.views, Confirmation: ps.Confirmation, Quarantine: quarantine,
+		PlatformDown: func() bool { return false }, Log: ps.Log,
+	}
+	ps.Cluster.Init()
+	ps.Service = &forward.Service{
+		Fleets: ps.Fleets, Confirmation: ps.Confirmation, Quarantine: quarantine,
+		Engine: &scatter.Engine[scatter.LeastExpected, scatter.GoalHedge, forward.Send, forward.Answer]{
+			Sender: fe.Sender(ps.Backend, ps.Fleets), Zone: zone.Zone{Name: cg.Zone, Else: zoneDelay},
+			Quarantine: quarantine, Crashed: ps.crashed,
+		},
+		Budgets:  forward.NewBudgets(now, cg.Retries, len(cg.Peers)+1),
+		Observer: &observer{ps.Log},
+	}
+}
+
+// crashed is told of servers lost to a request.
+func (ps *Process) crashed(_ time.Time, fingerprint uint64, server string) {
+	events.ServerLost.Log(ps.Log, zap.Uint64("fingerprint", fingerprint), zap.String("server", server))
+	ps.Cluster.Kick()
+}
+
+func (ps *Process) listen(fe FrontEnd) error {
+	listeners := []struct {
+		address string
+		handler http.Handler
+	}{
+		{ps.Config.CallerAddress, fe.Callers(ps)},
+		{ps.Config.ReadyAddress, fe.Ready(ps)},
+		{ps.Config.DirectoryAddress, fe.Places(ps)},
+	}
+	for _, ln := range listeners {
+		if err := ps.serveHTTP(ln.address, ln.handler); err != nil {
+			return err
+		}
+	}
+	ls, err := net.Listen("tcp", ps.Config.EntryAddress)
+	if err != nil {
+		return fmt.Errorf("listen on entry_address: %w", err)
+	}
+	ps.grpc = entry.NewServer(ps.Cluster)
+	ps.work.Go(func() { _ = ps.grpc.Serve(ls) })
+	ps.cleanups = append(ps.cleanups, ps.grpc.Stop)
+	return nil
+}
+
+func (ps *Process) serveHTTP(address string, handler http.Handler) error {
+	ls, err := net.Listen("tcp", address)
+	if err != nil {
+		return fmt.Errorf("listen on %s: %w", address, err)
+	}
+	hs := &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
+		ErrorLog: zap.NewStdLog(zap.NewNop()),
+	}
+	ps.servers = append(ps.servers, hs)
+	ps.cleanups = append(ps.cleanups, func() { _ = hs.Close() })
+	ps.work.Go(func() { _ = hs.Serve(ls) })
+	return nil
+}
+
+// run starts the goroutines that keep the process up to date.
+func (ps *Process) run(fe FrontEnd) {
+	ctx, cancel := context.WithCancel(context.Background())
+	ps.cancel = cancel
+	watcher := &platform.Watcher{
+		Store: fe.Store, Prefixes: []string{view.PrefixTable, view.PrefixMembers},
+		Target: &fleetTarget{process: ps, codec: fe.Objects},
+		Pace:   platform.Pace{Wait: longestWatch, Pause: watchPause}, Log: ps.Log,
+	}
+	for _, task := range []func(context.Context){watcher.Run, ps.Cluster.Run, ps.tend} {
+		ps.work.Go(func() { task(ctx) })
+	}
+}
+
+// close ends everything at once.
+func (ps *Process) close() {
+	ps.stop.Do(func() {
+		if ps.cancel != nil {
+			ps.cancel()
+		}
+		for i := len(ps.cleanups) - 1; i >= 0; i-- {
+			ps.cleanups[i]()
+		}
+		ps.work.Wait()
+	})
+}
+
+// IsReady reports whether callers may be sent here.
+func (ps *Process) IsReady(time.Time) bool {
+	return !ps.leaving.Load() && ps.Service.IsReady()
+}
+
+// BodyLimit returns the longest body that callers may send, in bytes.
+func (ps *Process) BodyLimit() int64 {
+	if tb := ps.Fleets.Load().Table; tb != nil {
+		return tb.Limits.BodyBytes
+	}
+	return contract.CallerLimits{}.Defaults().BodyBytes
+}
+
+// IsLeaving reports whether the process was told to stop.
+func (ps *Process) IsLeaving() bool {
+	return ps.leaving.Load()
+}
+
+// Offer returns the addresses that a caller in a zone may use, and how long it
+// may keep them.
+func (ps *Process) Offer(now time.Time, _, from string) ([]string, time.Duration) {
+	offered := machine.Place(now, from, ps.Cluster.Members(now))
+	addresses := make([]string, len(offered))
+	for i, vm := range offered {
+		addresses[i] = vm.CallerAddress
+	}
+	return addresses, min(ps.Config.KeepFor, ps.Config.LongestKeep)
+}
+
+// Stop ends the process without cutting a request: it is no longer offered or
+// ready, and serves on those who kept an older answer; then it accepts no more,
+// and ends when the last request did, in any case in time.
+func (ps *Process) Stop(now time.Time) {
+	end := now.Add(ps.Config.StopWithin)
+	events.Leaving.Log(ps.Log)
+	ps.leaving.Store(true)
+	ps.Cluster.Leave()
+	time.Sleep(time.Until(end.Add(-acceptReserve)))
+	events.Draining.Log(ps.Log)
+	ctx, cancel := context.WithDeadline(context.Background(), end.Add(-finishReserve))
+	defer cancel()
+	if err := ps.servers[0].Shutdown(ctx); err != nil {
+		events.CutShort.Log(ps.Log, zap.Error(err))
+	}
+	ps.close()
+	events.Stopped.Log(ps.Log)
+}
--- a/internal/peer/backend/client.go
+++ b/internal/peer/backend/client.go
@@ -52,12 +52,17 @@
 	at     time.Time
 }
 
+// poolKey names a server at an address, which another server may get later.
+type poolKey struct {
+	name, address string
+}
+
 // Client sends parts to servers. Make one with New.
 type Client struct {
 	dial DialFunc
 	// entryVMs is the number of entry VMs that share the servers.
 	entryVMs atomic.Int64
-	// pools maps name and address of a server to its *pool.
+	// pools maps a poolKey to its *pool.
 	pools sync.Map
 	// silent holds the servers whose links went silent within massWindow.
 	silent *rcu.Value[[]silence]
@@ -95,48 +100,93 @@
 }
 
 func (cl *Client) pool(sv *machine.Server) *pool {
-	if value, ok := cl.pools.Load(sv.Address); ok {
+	key := poolKey{sv.Name, sv.Address}
+	if value, ok := cl.pools.Load(key); ok {
 		return value.(*pool)
 	}
 	fresh := newPool(cl.dial, sv)
 	fresh.share.Store(cl.shareOf(sv))
-	value, _ := cl.pools.LoadOrStore(sv.Address, fresh)
+	value, _ := cl.pools.LoadOrStore(key, fresh)
 	return value.(*pool)
 }
 
 // Send carries one part to a server. It is of scatter.Sender.
 func (cl *Client) Send(ctx context.Context, sv *machine.Server, pt scatter.Part) ([]byte, error) {
+	var body []byte
+	err := cl.onLink(ctx, sv, pt.Bounds, probeHealth, func(ctx context.Context, cn *conn) error {
+		api, err := cn.client(sv.Address)
+		if err != nil {
+			return err
+		}
+		answer, err := api.RunPart(ctx, encodePart(time.Now(), pt))
+		if refused := (*backendapi.RefusedStatusCode)(nil); errors.As(err, &refused) {
+			return refusal(refused)
+		}
+		if err != nil {
+			return err
+		}
+		if answer.Draining {
+			sv.State.MarkLeaving(time.Now())
+		}
+		if err := checkAnswer(pt, answer); err != nil {
+			return cl.mismatched(cn, err)
+		}
+		body = answer.Body
+		return nil
+	})
+	return body, err
+}
+
+// probe asks a server on a fresh link whether it answers.
+type probe func(ctx context.Context, sv *machine.Server, cn *conn) error
+
+// probeHealth asks with the product's own protocol.
+func probeHealth(ctx context.Context, sv *machine.Server, cn *conn) error {
+	api, err := cn.client(sv.Address)
+	if err != nil {
+		return err
+	}
+	_, err = api.GetHealth(ctx)
+	return err
+}
+
+// mismatched counts an answer that belongs to another request, and gives its
+// link up.
+func (cl *Client) mismatched(cn *conn, err error) error {
+	cl.Mismatched.Add(1)
+	cn.broken = true
+	return &contract.PartError{Cause: contract.CauseMismatched, Err: err}
+}
+
+// onLink does one exchange on a link to a server and turns its failures into a
+// *contract.PartError. An error of that type from do says that the server
+// answered.
+func (cl *Client) onLink(ctx context.Context, sv *machine.Server, bounds scatter.Bounds, pb probe,
+	do func(ctx context.Context, cn *conn) error,
+) error {
 	pl := cl.pool(sv)
 	cn, err := pl.take(ctx)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	now := time.Now()
-	if !now.Before(pt.Deadline) {
+	if !now.Before(bounds.Deadline) {
 		pl.give(now, cn)
-		return nil, &contract.PartError{Cause: contract.CauseDeadline, NotRun: true}
+		return &contract.PartError{Cause: contract.CauseDeadline, NotRun: true}
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	if pt.Idempotent {
-		timer := time.AfterFunc(pt.SilentAfter, func() { cl.checkSilent(ctx, pl, cn, now, pt.SilentAfter, cancel) })
+	if bounds.Idempotent {
+		timer := time.AfterFunc(bounds.SilentAfter, func() { cl.checkSilent(ctx, pl, cn, pb, now, bounds.SilentAfter, cancel) })
 		defer timer.Stop()
 	}
 	before := cn.Written.Load()
-	answer, err := cn.client.RunPart(ctx, encodePart(now, pt))
-	if err != nil {
-		return nil, cl.failed(ctx, pl, cn, cn.Written.Load() > before, err)
-	}
-	if answer.Draining {
-		sv.State.MarkLeaving(time.Now())
-	}
-	if err := checkAnswer(pt, answer); err != nil {
-		cl.Mismatched.Add(1)
-		pl.discard(cn)
-		return nil, &contract.PartError{Cause: contract.CauseMismatched, Err: err}
+	err = do(ctx, cn)
+	if answered := (*contract.PartError)(nil); err == nil || errors.As(err, &answered) {
+		pl.give(time.Now(), cn)
+		return err
 	}
-	pl.give(time.Now(), cn)
-	return answer.Body, nil
+	return cl.failed(ctx, pl, cn, pb, cn.Written.Load() > before, err)
 }
 
 func encodePart(now time.Time, pt scatter.Part) *backendapi.Part {
@@ -176,16 +226,12 @@
 	return strconv.FormatUint(xxhash.Sum64(body), 16)
 }
 
-// failed turns the error of a request into a *contract.PartError and gives its
-// link back or closes it.
-func (cl *Client) failed(ctx context.Context, pl *pool, cn *conn, written bool, err error) error {
-	if refused := (*backendapi.RefusedStatusCode)(nil); errors.As(err, &refused) {
-		pl.give(time.Now(), cn)
-		return refusal(refused)
-	}
+// failed turns the error of an exchange into a *contract.PartError and closes
+// its link.
+func (cl *Client) failed(ctx context.Context, pl *pool, cn *conn, pb probe, written bool, err error) error {
 	pl.discard(cn)
 	cause := causeOf(ctx)
-	if cause == contract.CauseLinkBroken && cl.answers(ctx, pl) {
+	if cause == contract.CauseLinkBroken && cl.answers(ctx, pl, pb) {
 		cause = contract.CauseLinkReset
 	}
 	return &contract.PartError{Cause: cause, NotRun: !written, Err: err}
@@ -193,22 +239,28 @@
 
 // answers reports whether a server answers on a new link, so that a broken one
 // is no sign that the server was lost.
-func (cl *Client) answers(ctx context.Context, pl *pool) bool {
+func (cl *Client) answers(ctx context.Context, pl *pool, pb probe) bool {
 	if !pl.tryOpen(pl.share.Load()) {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, lostTimeout)
 	defer cancel()
+	return cl.probeFresh(ctx, pl, pb) == nil
+}
+
+// probeFresh probes a server on a new link, in a place taken with tryOpen, and
+// keeps the link.
+func (cl *Client) probeFresh(ctx context.Context, pl *pool, pb probe) error {
 	fresh, err := pl.connect(ctx)
 	if err != nil {
-		return false
+		return err
 	}
-	if _, err := fresh.client.GetHealth(ctx); err != nil {
+	if err := pb(ctx, pl.server, fresh); err != nil {
 		pl.discard(fresh)
-		return false
+		return fmt.Errorf("probe %s: %w", pl.server.Name, err)
 	}
 	pl.give(time.Now(), fresh)
-	return true
+	return nil
 }
 
 func causeOf(ctx context.Context) contract.Cause {
@@ -242,7 +294,7 @@
 
 // checkSilent cuts a request off when its link is silent while the server
 // answers, or does not answer either, on another one.
-func (cl *Client) checkSilent(ctx context.Context, pl *pool, cn *conn, sentAt time.Time, limit time.Duration, cut context.CancelCauseFunc) {
+func (cl *Client) checkSilent(ctx context.Context, pl *pool, cn *conn, pb probe, sentAt time.Time, limit time.Duration, cut context.CancelCauseFunc) {
 	if ctx.Err() != nil || !cn.IsSilent(sentAt) {
 		return
 	}
@@ -262,21 +314,14 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	fresh, err := pl.connect(ctx)
-	if err != nil {
-		cut(errSilent)
-		return
-	}
-	if _, err := fresh.client.GetHealth(ctx); err != nil {
-		pl.discard(fresh)
+	err := cl.probeFresh(ctx, pl, pb)
+	switch {
+	case err != nil:
 		cut(errSilent)
-		return
-	}
-	if cn.IsSilent(sentAt) {
+	case cn.IsSilent(sentAt):
 		cl.condemn(startedAt, pl)
 		cut(errSilent)
 	}
-	pl.give(time.Now(), fresh)
 }
 
 // condemn gives up all links to a server that were opened before a time. When
@@ -333,15 +378,18 @@
 	if err != nil {
 		return
 	}
-	ld, err := cn.client.GetLoad(ctx)
+	api, err := cn.client(sv.Address)
 	if err != nil {
 		pl.discard(cn)
 		return
 	}
-	now := time.Now()
-	sv.State.ReportedLoad.Store(int64(ld.InFlight + ld.Queued))
-	sv.State.ReportedAt.Store(now.UnixNano())
-	health, err := cn.client.GetHealth(ctx)
+	ld, err := api.GetLoad(ctx)
+	if err != nil {
+		pl.discard(cn)
+		return
+	}
+	sv.State.Reported(time.Now(), ld.InFlight+ld.Queued)
+	health, err := api.GetHealth(ctx)
 	if err != nil {
 		pl.discard(cn)
 		return
@@ -365,7 +413,7 @@
 	states := map[string]PoolState{}
 	cl.pools.Range(func(name, value any) bool {
 		pl := value.(*pool)
-		states[name.(string)] = PoolState{
+		states[name.(poolKey).address] = PoolState{
 			Open: pl.open.Load(), Share: pl.share.Load(), Idle: len(pl.idle), Condemned: pl.condemned.Load(),
 		}
 		return true
@@ -373,10 +421,10 @@
 	return states
 }
 
-// Forget closes the links to servers that are no longer known by address.
-func (cl *Client) Forget(known func(address string) bool) {
+// Forget closes the links to servers that are no longer known.
+func (cl *Client) Forget(known func(name, address string) bool) {
 	cl.pools.Range(func(name, value any) bool {
-		if !known(name.(string)) {
+		if key := name.(poolKey); !known(key.name, key.address) {
 			cl.pools.Delete(name)
 			value.(*pool).close()
 		}
--- a/internal/peer/backend/pool.go
+++ b/internal/peer/backend/pool.go
@@ -1,15 +1,13 @@
 package backend
 
 import (
+	"bufio"
 	"context"
 	"net"
-	"net/http"
 	"sync/atomic"
 	"time"
 
-	"daisystage.example/daisystage/internal/wire/backendapi"
 	"daisystage.example/daisystage/internal/world/contract"
-	"daisystage.example/daisystage/internal/world/link"
 	"daisystage.example/daisystage/internal/world/machine"
 )
 
@@ -27,44 +25,6 @@
 // DialFunc makes a connection to an address.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
-// conn is one link to a server, used by one request at a time.
-type conn struct {
-	link.Link
-	raw       net.Conn
-	transport *http.Transport
-	client    *backendapi.Client
-}
-
-// countingConn keeps the state of its link.
-type countingConn struct {
-	net.Conn
-	link *link.Link
-	pool *pool
-}
-
-// Read is of net.Conn.
-func (cc *countingConn) Read(buffer []byte) (int, error) {
-	count, err := cc.Conn.Read(buffer)
-	if count > 0 {
-		now := time.Now().UnixNano()
-		cc.link.LastRead.Store(now)
-		cc.pool.lastRead.Store(now)
-	}
-	return count, err
-}
-
-// Write is of net.Conn.
-func (cc *countingConn) Write(buffer []byte) (int, error) {
-	cc.link.LastWrite.Store(time.Now().UnixNano())
-	cc.link.Written.Add(int64(len(buffer)))
-	return cc.Conn.Write(buffer)
-}
-
-func (cn *conn) close() {
-	_ = cn.raw.Close()
-	cn.transport.CloseIdleConnections()
-}
-
 // pool holds the links to one server. Its methods take no lock; those that
 // wait do so on a channel.
 type pool struct {
@@ -106,7 +66,7 @@
 		}
 		select {
 		case cn := <-pl.idle:
-			if cn != nil && pl.usable(time.Now(), cn) {
+			if cn != nil && pl.usableNow(time.Now(), cn) {
 				return cn, nil
 			}
 		case <-ctx.Done():
@@ -128,7 +88,7 @@
 	for {
 		select {
 		case cn := <-pl.idle:
-			if cn != nil && pl.usable(now, cn) {
+			if cn != nil && pl.usableNow(now, cn) {
 				return cn
 			}
 		default:
@@ -137,15 +97,31 @@
 	}
 }
 
-// usable closes links that are condemned, too long unused or too many.
+// usable closes links that are broken, condemned, too long unused or too many.
 func (pl *pool) usable(now time.Time, cn *conn) bool {
-	if !pl.isCondemned(cn) && !cn.Expired(now) && pl.open.Load() <= pl.share.Load() {
+	if cn.broken || pl.isCondemned(cn) || cn.Expired(now) || cn.isStale(now) || pl.open.Load() > pl.share.Load() {
+		pl.discard(cn)
+		return false
+	}
+	return true
+}
+
+// usableNow is usable for a link that was unused for a while.
+func (pl *pool) usableNow(now time.Time, cn *conn) bool {
+	if !pl.usable(now, cn) {
+		return false
+	}
+	if hasNothingToRead(cn.raw) {
 		return true
 	}
 	pl.discard(cn)
 	return false
 }
 
+func (cn *conn) isStale(now time.Time) bool {
+	return !cn.staleAt.IsZero() && now.After(cn.staleAt)
+}
+
 func (pl *pool) isCondemned(cn *conn) bool {
 	return cn.OpenedAt.UnixNano() < pl.condemnedBefore.Load()
 }
@@ -179,33 +155,15 @@
 		pl.free()
 		return nil, &contract.PartError{Cause: contract.CauseDialFailed, NotRun: true, Err: err}
 	}
-	return pl.newConn(time.Now(), raw)
+	return pl.newConn(time.Now(), raw), nil
 }
 
-func (pl *pool) newConn(now time.Time, raw net.Conn) (*conn, error) {
+func (pl *pool) newConn(now time.Time, raw net.Conn) *conn {
 	cn := &conn{}
 	cn.OpenedAt = now
 	cn.raw = &countingConn{Conn: raw, link: &cn.Link, pool: pl}
-	var used atomic.Bool
-	cn.transport = &http.Transport{
-		// A link is one connection: when it breaks, the pool makes the next.
-		DialContext: func(context.Context, string, string) (net.Conn, error) {
-			if used.Swap(true) {
-				return nil, net.ErrClosed
-			}
-			return cn.raw, nil
-		},
-		MaxIdleConnsPerHost: 1,
-		DisableCompression:  true,
-	}
-	client, err := backendapi.NewClient("http://"+pl.server.Address, backendapi.WithClient(&http.Client{Transport: cn.transport}))
-	if err != nil {
-		_ = raw.Close()
-		pl.free()
-		return nil, &contract.PartError{Cause: contract.CauseDialFailed, NotRun: true, Err: err}
-	}
-	cn.client = client
-	return cn, nil
+	cn.reader = bufio.NewReaderSize(cn.raw, readBuffer)
+	return cn
 }
 
 // give returns a link after a request that was answered.
--- a/internal/peer/platform/store.go
+++ b/internal/peer/platform/store.go
@@ -32,18 +32,23 @@
 	Leaving bool
 }
 
+// Reader is the part of the object API that a Watcher needs.
+type Reader interface {
+	// List returns the objects under a prefix and the version they are as of.
+	List(ctx context.Context, prefix string) ([]view.Object, int64, error)
+	// Watch waits for changes under a prefix after a version and returns them
+	// with the version to go on from.
+	Watch(ctx context.Context, prefix string, from int64, wait time.Duration) ([]view.Object, int64, error)
+}
+
 // Store is the platform's object API.
 type Store interface {
+	Reader
 	Get(ctx context.Context, key string) (view.Object, error)
 	// Put writes a value if the object has the version, 0 for none, and
 	// returns the new version.
 	Put(ctx context.Context, key, value string, ifVersion int64) (int64, error)
 	Delete(ctx context.Context, key string, ifVersion int64) error
-	// List returns the objects under a prefix and the version they are as of.
-	List(ctx context.Context, prefix string) ([]view.Object, int64, error)
-	// Watch waits for changes under a prefix after a version and returns them
-	// with the version to go on from.
-	Watch(ctx context.Context, prefix string, from int64, wait time.Duration) ([]view.Object, int64, error)
 	VMs(ctx context.Context) ([]VM, error)
 }
 
--- a/internal/peer/platform/watcher.go
+++ b/internal/peer/platform/watcher.go
@@ -33,12 +33,38 @@
 	vmListEvery = 2 * time.Second
 )
 
-// Watcher keeps a view up to date with the platform.
+// Target takes in what a Watcher hears.
+type Target interface {
+	// Apply takes objects in.
+	Apply(now time.Time, objects []view.Object)
+	// Known returns the keys under a prefix of the objects that are older than
+	// a version; a list as of that version has them, or they are gone.
+	Known(prefix string, version int64) []string
+	// Confirm says that all prefixes are as of a time.
+	Confirm(asOf time.Time)
+}
+
+// Pace says how often a Watcher calls.
+type Pace struct {
+	// Wait is how long a watch waits for a change.
+	Wait time.Duration
+	// Pause is the time between an answer and the next watch, so that changes
+	// that come close together are heard of in one answer.
+	Pause time.Duration
+}
+
+// Defaults returns the pace at which each answer confirms the view.
+func (Pace) Defaults() Pace {
+	return Pace{Wait: watchWait}
+}
+
+// Watcher keeps a target up to date with the platform.
 type Watcher struct {
-	Store        Store
-	Views        *rcu.Value[view.View]
-	Confirmation *view.Confirmation
-	Log          *zap.Logger
+	Store    Reader
+	Prefixes []string
+	Target   Target
+	Pace     Pace
+	Log      *zap.Logger
 
 	lock sync.Mutex
 	// heard is when the newest answered call for each prefix was made.
@@ -49,6 +75,34 @@
 	back chan struct{}
 }
 
+// ViewTarget is the Target of a published view.
+type ViewTarget struct {
+	Views        *rcu.Value[view.View]
+	Confirmation *view.Confirmation
+	Log          *zap.Logger
+}
+
+// Apply is of Target.
+func (vt ViewTarget) Apply(_ time.Time, objects []view.Object) {
+	Apply(vt.Views, vt.Log, objects)
+}
+
+// Known is of Target.
+func (vt ViewTarget) Known(prefix string, version int64) []string {
+	var keys []string
+	for key, ob := range vt.Views.Load().Objects.All() {
+		if strings.HasPrefix(key, prefix) && !ob.Deleted && ob.Version < version {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
+// Confirm is of Target.
+func (vt ViewTarget) Confirm(asOf time.Time) {
+	vt.Confirmation.Heard(asOf)
+}
+
 // Apply takes objects into the published view and logs those that it refuses.
 func Apply(views *rcu.Value[view.View], log *zap.Logger, objects []view.Object) {
 	if len(objects) == 0 {
@@ -74,11 +128,11 @@
 	events.BadObject.Log(log, zap.String("key", ob.Key), zap.Int64("version", ob.Version), zap.Error(err))
 }
 
-// Run watches all prefixes of the view until the context ends.
+// Run watches all prefixes until the context ends.
 func (wt *Watcher) Run(ctx context.Context) {
 	wt.heard, wt.slow = map[string]time.Time{}, map[string]bool{}
 	var watches sync.WaitGroup
-	for _, prefix := range view.Prefixes() {
+	for _, prefix := range wt.Prefixes {
 		watches.Go(func() { wt.runPrefix(ctx, prefix) })
 	}
 	watches.Wait()
@@ -92,6 +146,7 @@
 		if err == nil {
 			from, backoff = next, firstBackoff
 			wt.answered()
+			sleep(ctx, wt.Pace.Pause)
 			continue
 		}
 		back := wt.failed()
@@ -134,13 +189,13 @@
 		if err != nil {
 			return 0, err
 		}
-		Apply(wt.Views, wt.Log, append(objects, wt.absent(prefix, objects, version)...))
+		wt.Target.Apply(time.Now(), append(objects, wt.absent(prefix, objects, version)...))
 		wt.confirm(prefix, startedAt)
 		return version, nil
 	}
-	wait := watchWait
+	wait := wt.Pace.Wait
 	if wt.isSlow(prefix) {
-		wait = slowWatchWait
+		wait = min(wait, slowWatchWait)
 	}
 	objects, next, err := wt.Store.Watch(ctx, prefix, from, wait)
 	if err != nil {
@@ -151,23 +206,22 @@
 		events.StaleStore.Log(wt.Log, zap.String("prefix", prefix), zap.Int64("version", next), zap.Int64("known", from))
 		return from, nil
 	}
-	Apply(wt.Views, wt.Log, objects)
+	wt.Target.Apply(time.Now(), objects)
 	wt.confirm(prefix, startedAt)
 	return next, nil
 }
 
-// absent returns deletions for objects of the view that a list lacks.
+// absent returns deletions for known objects that a list lacks.
 func (wt *Watcher) absent(prefix string, listed []view.Object, version int64) []view.Object {
 	present := make(map[string]bool, len(listed))
 	for _, ob := range listed {
 		present[ob.Key] = true
 	}
 	var gone []view.Object
-	for key, ob := range wt.Views.Load().Objects.All() {
-		if !strings.HasPrefix(key, prefix) || present[key] || ob.Deleted || ob.Version >= version {
-			continue
+	for _, key := range wt.Target.Known(prefix, version) {
+		if !present[key] {
+			gone = append(gone, view.Object{Key: key, Version: version, Deleted: true})
 		}
-		gone = append(gone, view.Object{Key: key, Version: version, Deleted: true})
 	}
 	return gone
 }
@@ -191,7 +245,7 @@
 	defer wt.lock.Unlock()
 	wt.heard[prefix] = asOf
 	oldest := asOf
-	for _, name := range view.Prefixes() {
+	for _, name := range wt.Prefixes {
 		at, ok := wt.heard[name]
 		if !ok {
 			return
@@ -200,7 +254,7 @@
 			oldest = at
 		}
 	}
-	wt.Confirmation.Heard(oldest)
+	wt.Target.Confirm(oldest)
 }
 
 // WatchVMs reads the VM list until the context ends and hands it to take.
@@ -220,6 +274,9 @@
 }
 
 func sleep(ctx context.Context, duration time.Duration) {
+	if duration <= 0 {
+		return
+	}
 	wait(ctx, duration, nil)
 }
 
--- a/internal/query/scatter/gather.go
+++ b/internal/query/scatter/gather.go
@@ -2,35 +2,36 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"time"
 
 	"daisystage.example/daisystage/internal/world/contract"
 	"daisystage.example/daisystage/internal/world/machine"
-	"daisystage.example/daisystage/internal/world/snapshot"
 )
 
-// gather is the state of one request on one snapshot. It is owned by the
-// goroutine that runs it; attempts speak to it through results only.
-type gather[R ReplicaPolicy, H HedgePolicy] struct {
-	query    *Query[R, H]
-	rq       *Request
-	manifest *snapshot.Manifest
-	parts    []partState
-	results  chan result
-	// waiting counts the parts that are neither answered nor given up.
-	waiting int
+// gather is the state of one job. It is owned by the goroutine that runs it;
+// attempts speak to it through results only.
+type gather[R ReplicaPolicy, H HedgePolicy, M, A any] struct {
+	engine  *Engine[R, H, M, A]
+	job     *Job[M]
+	parts   []partState[A]
+	results chan result[A]
+	// waiting counts the parts that are neither answered nor given up, and
+	// answered those that are answered.
+	waiting, answered int
+	// needed is the number of answered parts that make an answer of use.
+	needed int
 	// attempts numbers the sends from 1.
 	attempts   int32
 	primaries  int
+	hedges     int
 	hedgeAfter time.Duration
 	hedging    bool
 	// wakeAt ends the wait for a canary; zero if there is none.
 	wakeAt time.Time
-	// mayRestart is set while there is another snapshot to start again on.
-	mayRestart bool
 	// vanished is set when all replicas of a shard lost the snapshot and the
-	// request may be started again.
+	// job may be started again.
 	vanished   bool
 	mayHaveRun bool
 	// careful is set while the request is suspected to crash servers.
@@ -43,21 +44,24 @@
 // again because its link was silent.
 const silentRetries = 3
 
+// coverageSlack keeps a share such as 0.9 of 10 shards from being rounded up.
+const coverageSlack = 1e-9
+
 // partState is one shard of a gather.
-type partState struct {
-	shard  *snapshot.Shard
-	record contract.PartRecord
-	body   []byte
+type partState[A any] struct {
+	PartResult[A]
+	shard *Shard
 	// open holds the attempts that have no result yet.
 	open []attempt
-	// tried names the servers that an attempt was sent to.
-	tried []string
-	// again names the servers that may be asked once more, on another link.
-	again     []string
+	// tried holds the servers that an attempt was sent to.
+	tried []*machine.Server
+	// again holds the servers that may be asked once more.
+	again []*machine.Server
+	// ran counts the attempts that may have run.
+	ran       int
 	startedAt time.Time
 	// hedgeAt is when a second attempt is due, if there is no answer by then.
-	hedgeAt  time.Time
-	answered bool
+	hedgeAt time.Time
 	// over is set when the part is answered or given up.
 	over bool
 }
@@ -69,43 +73,45 @@
 	cancel context.CancelFunc
 }
 
-type result struct {
+type result[A any] struct {
 	part   int
 	number int32
-	body   []byte
-	took   time.Duration
+	answer A
 	err    error
 }
 
-func newGather[R ReplicaPolicy, H HedgePolicy](qr *Query[R, H], rq *Request, mf *snapshot.Manifest) *gather[R, H] {
-	shards := mf.Shards
-	if rq.Setting.Route.Shards == contract.ScopeOne {
-		at := ShardOf(rq.ShardKey, len(shards))
-		shards = shards[at : at+1]
-	}
-	ga := &gather[R, H]{query: qr, rq: rq, manifest: mf, parts: make([]partState, len(shards)), waiting: len(shards)}
+func newGather[R ReplicaPolicy, H HedgePolicy, M, A any](en *Engine[R, H, M, A], jb *Job[M]) *gather[R, H, M, A] {
+	ga := &gather[R, H, M, A]{engine: en, job: jb, parts: make([]partState[A], len(jb.Shards)), waiting: len(jb.Shards)}
+	ga.needed = max(int(math.Ceil(jb.Terms.MinCoverage*float64(len(jb.Shards))-coverageSlack)), 1)
 	most := 0
-	for i := range shards {
-		ga.parts[i].shard = &shards[i]
-		ga.parts[i].record.Shard = shards[i].Name
-		most += len(shards[i].Replicas)
+	for i := range jb.Shards {
+		ga.parts[i].shard = &jb.Shards[i]
+		ga.parts[i].Record.Shard = jb.Shards[i].Name
+		most += ga.mostSends(&jb.Shards[i])
 	}
 	// Attempts are bounded, so that none ever blocks on this.
-	ga.results = make(chan result, most+len(shards)*silentRetries)
-	ga.hedgeAfter, ga.hedging = qr.Hedges.After(rq.Setting.Route, rq.Setting.State.Latency.Recent())
-	ga.hedging = ga.hedging && rq.Setting.Route.Idempotent
+	ga.results = make(chan result[A], most)
+	ga.hedgeAfter, ga.hedging = en.Hedges.After(jb.Terms, jb.Latency.Recent())
+	ga.hedging = ga.hedging && jb.Terms.Idempotent
 	return ga
 }
 
+// mostSends returns the most attempts at one shard.
+func (ga *gather[R, H, M, A]) mostSends(sh *Shard) int {
+	rounds := 1
+	if ga.job.Terms.TryAgain {
+		rounds = 2
+	}
+	return rounds*len(sh.Replicas) + silentRetries
+}
+
 // run sends all parts and waits for them.
-func (ga *gather[R, H]) run(ctx context.Context) {
-	ctx, cancel := context.WithDeadline(ctx, ga.rq.AnswerBy)
+func (ga *gather[R, H, M, A]) run(ctx context.Context) {
+	ctx, cancel := context.WithDeadline(ctx, ga.job.AnswerBy)
 	defer cancel()
 	now := time.Now()
-	rt := ga.rq.Setting.Route
-	quarantine := ga.query.Quarantine
-	ga.careful = quarantine.Count(now, ga.rq.Fingerprint) > 0
-	if rt.Canary != contract.CanaryOff && !ga.runFirst(ctx) {
+	ga.careful = ga.engine.Quarantine.IsSuspect(now, ga.job.Fingerprint)
+	if ga.job.Terms.Canary != contract.CanaryOff && !ga.runFirst(ctx) {
 		return
 	}
 	now = time.Now()
@@ -114,28 +120,41 @@
 			ga.start(ctx, now, i)
 		}
 	}
-	ga.wait(ctx, func() bool { return ga.waiting == 0 })
+	ga.wait(ctx, func() bool { return ga.waiting == 0 || ga.isDecided(time.Now()) })
+	ga.stop()
+}
+
+// isDecided reports whether waiting longer does not help: the answer can't
+// become of use any more, or it is and the time to be whole is over.
+func (ga *gather[R, H, M, A]) isDecided(now time.Time) bool {
+	if ga.job.EnoughAt.IsZero() {
+		return false
+	}
+	if ga.answered+ga.waiting < ga.needed {
+		return true
+	}
+	return ga.answered >= ga.needed && !now.Before(ga.job.EnoughAt)
 }
 
 // nextWake returns the time at which wait has something to do, if there is one.
-func (ga *gather[R, H]) nextWake() (time.Time, bool) {
+func (ga *gather[R, H, M, A]) nextWake(now time.Time) (time.Time, bool) {
 	next, found := ga.nextHedge()
-	if ga.wakeAt.IsZero() {
-		return next, found
-	}
-	if !found || ga.wakeAt.Before(next) {
-		return ga.wakeAt, true
+	for _, at := range []time.Time{ga.wakeAt, ga.job.EnoughAt} {
+		if at.After(now) && (!found || at.Before(next)) {
+			next, found = at, true
+		}
 	}
-	return next, true
+	return next, found
 }
 
 // wait takes in results and sends hedges until done or the context ends.
-func (ga *gather[R, H]) wait(ctx context.Context, done func() bool) {
+func (ga *gather[R, H, M, A]) wait(ctx context.Context, done func() bool) {
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	for !done() && !ga.vanished {
-		if next, ok := ga.nextWake(); ok {
-			timer.Reset(time.Until(next))
+		now := time.Now()
+		if next, ok := ga.nextWake(now); ok {
+			timer.Reset(next.Sub(now))
 		}
 		select {
 		case rs := <-ga.results:
@@ -155,7 +174,7 @@
 
 // takeReady takes in the results that wait already, so that the time of the
 // next hedge is computed once for all of them.
-func (ga *gather[R, H]) takeReady(ctx context.Context) {
+func (ga *gather[R, H, M, A]) takeReady(ctx context.Context) {
 	for {
 		select {
 		case rs := <-ga.results:
@@ -167,7 +186,7 @@
 }
 
 // start sends the first attempt of a part.
-func (ga *gather[R, H]) start(ctx context.Context, now time.Time, at int) {
+func (ga *gather[R, H, M, A]) start(ctx context.Context, now time.Time, at int) {
 	pt := &ga.parts[at]
 	pt.startedAt = now
 	pt.hedgeAt = now.Add(ga.hedgeAfter)
@@ -180,99 +199,78 @@
 	ga.send(ctx, now, at, sv, false)
 }
 
-// choose returns a replica that was not tried, else one whose link was at
-// fault, nil if none is left.
-func (ga *gather[R, H]) choose(now time.Time, pt *partState, avoid string) *machine.Server {
+// choose returns a replica that was not tried, else one that may be asked
+// again, nil if none is left or the job ran on enough of them.
+func (ga *gather[R, H, M, A]) choose(now time.Time, pt *partState[A], avoid string) *machine.Server {
+	if most := ga.job.Terms.MaxAttempts; most > 0 && pt.ran >= most {
+		return nil
+	}
 	sv := ga.chooseAmong(now, pt.shard.Replicas, pt.tried, avoid)
 	if sv == nil && len(pt.again) > 0 {
 		sv = ga.chooseAmong(now, pt.again, nil, avoid)
-		pt.again = slices.DeleteFunc(pt.again, func(name string) bool { return sv != nil && name == sv.Name })
+		pt.again = slices.DeleteFunc(pt.again, func(other *machine.Server) bool { return other == sv })
 	}
 	return sv
 }
 
-func (ga *gather[R, H]) chooseAmong(now time.Time, names, except []string, avoid string) *machine.Server {
+func (ga *gather[R, H, M, A]) chooseAmong(now time.Time, servers, except []*machine.Server, avoid string) *machine.Server {
 	ga.candidates = ga.candidates[:0]
-	for _, name := range names {
-		if slices.Contains(except, name) {
+	for _, sv := range servers {
+		if slices.Contains(except, sv) || sv.IsLeaving(now) || ga.job.Holds != nil && !ga.job.Holds(now, sv) {
 			continue
 		}
-		sv, ok := ga.rq.View.Servers.Get(name)
-		if ok && !sv.IsLeaving(now) && sv.State.Holds(now, ga.manifest.ID) {
-			ga.candidates = append(ga.candidates, sv)
-		}
+		ga.candidates = append(ga.candidates, sv)
 	}
-	return ga.query.Replicas.Choose(now, ga.query.Zone, ga.candidates, avoid)
+	return ga.engine.Replicas.Choose(now, ga.engine.Zone, ga.candidates, avoid)
 }
 
-func (ga *gather[R, H]) send(ctx context.Context, now time.Time, at int, sv *machine.Server, hedge bool) {
+func (ga *gather[R, H, M, A]) send(ctx context.Context, now time.Time, at int, sv *machine.Server, hedge bool) {
 	pt := &ga.parts[at]
 	ga.attempts++
 	ctx, cancel := context.WithCancel(ctx)
 	pt.open = append(pt.open, attempt{number: ga.attempts, server: sv, hedge: hedge, cancel: cancel})
-	pt.tried = append(pt.tried, sv.Name)
-	pt.record.Attempts++
-	message := Part{
-		RequestID:   ga.rq.ID,
-		Attempt:     ga.attempts,
-		Route:       ga.rq.Setting.Path,
-		Shard:       pt.shard.Name,
-		Snapshot:    ga.manifest.ID,
-		Deadline:    ga.rq.AnswerBy,
-		Idempotent:  ga.rq.Setting.Route.Idempotent,
-		SilentAfter: silentAfter(ga.rq.Setting.State),
-		Query:       ga.rq.Query,
-	}
+	pt.tried = append(pt.tried, sv)
+	pt.ran++
+	pt.Record.Attempts++
 	sv.State.InFlight.Add(1)
 	sv.State.Runs.Add(1)
-	go ga.attempt(ctx, now, at, sv, message)
+	go ga.attempt(ctx, now, at, ga.attempts, sv, ga.job.Message(pt.shard, ga.attempts))
 }
 
 // attempt runs in a goroutine of its own.
-func (ga *gather[R, H]) attempt(ctx context.Context, sentAt time.Time, at int, sv *machine.Server, message Part) {
-	body, err := ga.query.Sender.Send(ctx, sv, message)
+func (ga *gather[R, H, M, A]) attempt(ctx context.Context, sentAt time.Time, at int, number int32, sv *machine.Server, message M) {
+	answer, err := ga.engine.Sender.Send(ctx, sv, message)
 	sv.State.InFlight.Add(-1)
 	now := time.Now()
-	took := now.Sub(sentAt)
-	ga.learn(now, sv, took, err)
-	ga.results <- result{part: at, number: message.Attempt, body: body, took: took, err: err}
+	ga.learn(now, sv, now.Sub(sentAt), err)
+	ga.results <- result[A]{part: at, number: number, answer: answer, err: err}
 }
 
 // learn takes the end of an attempt into the state of its server.
-func (ga *gather[R, H]) learn(now time.Time, sv *machine.Server, took time.Duration, err error) {
-	service := took - 2*ga.query.Zone.Delay(sv.Zone)
+func (ga *gather[R, H, M, A]) learn(now time.Time, sv *machine.Server, took time.Duration, err error) {
+	service := took - 2*ga.engine.Zone.Delay(sv.Zone)
 	if err == nil {
 		sv.State.Succeeded(now, service, int64(sv.ConnectionLimit))
-		ga.rq.Setting.State.Latency.Record(took)
+		ga.job.Latency.Record(took)
 		return
 	}
 	cause, _ := causeOf(err)
-	switch cause {
-	case contract.CauseCanceled:
-		sv.State.ObserveAtLeast(now, service)
-	case contract.CauseShed:
-		sv.State.Overloaded(now)
-	case contract.CauseDeadline:
-		sv.State.Overloaded(now)
-		sv.State.ObserveAtLeast(now, service)
-	case contract.CauseDraining:
-		sv.State.MarkLeaving(now)
-	case contract.CauseSnapshotLost:
-		sv.State.Lose(now, ga.manifest.ID)
-	case contract.CauseDialFailed, contract.CauseLinkBroken, contract.CauseLinkReset, contract.CauseMismatched:
-		sv.State.Failed(now)
+	sv.State.Ended(now, service, cause)
+	if cause == contract.CauseSnapshotLost && ga.job.Lost != nil {
+		ga.job.Lost(now, sv)
 	}
 	// A request that was answered before does not crash servers.
-	if cause != contract.CauseLinkBroken || ga.query.Quarantine.IsProven(ga.rq.Fingerprint) {
+	quarantine, print := ga.engine.Quarantine, ga.job.Fingerprint
+	if cause != contract.CauseLinkBroken || quarantine.IsProven(print) {
 		return
 	}
-	if ga.query.Quarantine.Crashed(now, ga.rq.Fingerprint, sv.Name) && ga.query.Crashed != nil {
-		ga.query.Crashed(now, ga.rq.Fingerprint, sv.Name)
+	if quarantine.Crashed(now, print, sv.Name) && ga.engine.Crashed != nil {
+		ga.engine.Crashed(now, print, sv.Name)
 	}
 }
 
 // take takes in one result.
-func (ga *gather[R, H]) take(ctx context.Context, now time.Time, rs result) {
+func (ga *gather[R, H, M, A]) take(ctx context.Context, now time.Time, rs result[A]) {
 	pt := &ga.parts[rs.part]
 	at := slices.IndexFunc(pt.open, func(ap attempt) bool { return ap.number == rs.number })
 	ended := pt.open[at]
@@ -288,9 +286,15 @@
 	}
 	cause, notRun := causeOf(rs.err)
 	ga.mayHaveRun = ga.mayHaveRun || !notRun
-	pt.record.Misses = append(pt.record.Misses, contract.Miss{Server: ended.server.Name, Cause: cause})
-	if cause == contract.CauseLinkSilent && len(pt.tried) < len(pt.shard.Replicas)+silentRetries {
-		pt.again = append(pt.again, ended.server.Name)
+	if notRun {
+		pt.ran--
+	}
+	if cause == contract.CauseServerError {
+		pt.Answer, pt.Failed = rs.answer, true
+	}
+	pt.Record.Misses = append(pt.Record.Misses, contract.Miss{Server: ended.server.Name, Cause: cause})
+	if ga.mayAskAgain(pt, cause) {
+		pt.again = append(pt.again, ended.server)
 	}
 	if len(pt.open) > 0 {
 		return
@@ -298,43 +302,57 @@
 	ga.retry(ctx, now, rs.part, cause, notRun)
 }
 
+// mayAskAgain reports whether the server of an attempt may get another one.
+func (ga *gather[R, H, M, A]) mayAskAgain(pt *partState[A], cause contract.Cause) bool {
+	if len(pt.tried)+len(pt.again) >= ga.mostSends(pt.shard) {
+		return false
+	}
+	switch cause {
+	case contract.CauseLinkSilent:
+		return true
+	case contract.CauseShed, contract.CauseLinkReset, contract.CauseMismatched:
+		return ga.job.Terms.TryAgain
+	}
+	return false
+}
+
 // accept takes the first valid answer of a part and cancels its other attempts.
-func (ga *gather[R, H]) accept(now time.Time, rs result, winner attempt) {
+func (ga *gather[R, H, M, A]) accept(now time.Time, rs result[A], winner attempt) {
 	pt := &ga.parts[rs.part]
-	pt.body = rs.body
-	pt.answered = true
-	pt.record.Server = winner.server.Name
-	pt.record.Took = now.Sub(pt.startedAt)
+	pt.Answer, pt.Answered, pt.Failed = rs.answer, true, false
+	ga.answered++
+	pt.Record.Server = winner.server.Name
+	pt.Record.Took = now.Sub(pt.startedAt)
 	ga.end(pt)
 	for _, ap := range pt.open {
 		ap.cancel()
 	}
-	ga.query.Quarantine.Proved(ga.rq.Fingerprint)
+	ga.engine.Quarantine.Proved(ga.job.Fingerprint)
 }
 
-func (ga *gather[R, H]) giveUp(at int, cause contract.Cause) {
-	ga.parts[at].record.Cause = cause
+func (ga *gather[R, H, M, A]) giveUp(at int, cause contract.Cause) {
+	ga.parts[at].Record.Cause = cause
 	ga.end(&ga.parts[at])
 }
 
 // end counts a part that is answered or given up.
-func (ga *gather[R, H]) end(pt *partState) {
+func (ga *gather[R, H, M, A]) end(pt *partState[A]) {
 	pt.over = true
 	ga.waiting--
-	if ga.rq.PartOver != nil {
-		ga.rq.PartOver()
+	if ga.job.PartOver != nil {
+		ga.job.PartOver()
 	}
 }
 
 // stop gives up all parts that wait.
-func (ga *gather[R, H]) stop() {
+func (ga *gather[R, H, M, A]) stop() {
 	for i := range ga.parts {
 		pt := &ga.parts[i]
 		if pt.over {
 			continue
 		}
 		for _, ap := range pt.open {
-			pt.record.Misses = append(pt.record.Misses, contract.Miss{Server: ap.server.Name, Cause: contract.CauseDeadline})
+			pt.Record.Misses = append(pt.Record.Misses, contract.Miss{Server: ap.server.Name, Cause: contract.CauseDeadline})
 			ap.cancel()
 		}
 		if len(pt.open) > 0 && !ga.provedNotRun(len(pt.open)) {
@@ -346,11 +364,11 @@
 
 // provedNotRun waits for the end of the canceled attempts of a request that is
 // not idempotent and reports whether it is proved that none of them ran.
-func (ga *gather[R, H]) provedNotRun(open int) bool {
-	if ga.rq.Setting.Route.Idempotent {
+func (ga *gather[R, H, M, A]) provedNotRun(open int) bool {
+	if ga.job.Terms.Idempotent {
 		return false
 	}
-	timer := time.NewTimer(ga.rq.Setting.Route.ReplyMargin.Duration)
+	timer := time.NewTimer(ga.job.Terms.ReplyMargin)
 	defer timer.Stop()
 	for ; open > 0; open-- {
 		select {
@@ -368,29 +386,18 @@
 	return true
 }
 
-// answer sums up the gather. It is called once, after run.
-func (ga *gather[R, H]) answer() Answer {
-	rt := ga.rq.Setting.Route
-	ga.rq.Setting.State.Hedges.Earn(ga.primaries, rt.HedgeShare)
-	ga.rq.Setting.State.Retries.Earn(ga.primaries, rt.RetryShare)
-	an := Answer{
-		Manifest:   ga.manifest,
-		Coverage:   contract.Coverage{Total: len(ga.parts), Missing: []string{}},
-		Records:    make([]contract.PartRecord, len(ga.parts)),
-		Parts:      make([]ShardAnswer, 0, len(ga.parts)),
+// result sums up the gather. It is called once, after run.
+func (ga *gather[R, H, M, A]) result() Result[A] {
+	rs := Result[A]{
+		Parts:      make([]PartResult[A], len(ga.parts)),
+		Vanished:   ga.vanished,
 		MayHaveRun: ga.mayHaveRun,
 		Sends:      ga.primaries,
-		Extra:      int(ga.attempts) - ga.primaries,
+		Hedges:     ga.hedges,
+		Retries:    int(ga.attempts) - ga.primaries - ga.hedges,
 	}
 	for i := range ga.parts {
-		pt := &ga.parts[i]
-		an.Records[i] = pt.record
-		if !pt.answered {
-			an.Coverage.Missing = append(an.Coverage.Missing, pt.shard.Name)
-			continue
-		}
-		an.Coverage.Answered++
-		an.Parts = append(an.Parts, ShardAnswer{Shard: pt.shard.Name, Body: pt.body})
+		rs.Parts[i] = ga.parts[i].PartResult
 	}
-	return an
+	return rs
 }
--- a/internal/query/scatter/policy.go
+++ b/internal/query/scatter/policy.go
@@ -20,7 +20,7 @@
 // HedgePolicy decides when a part that has no answer is sent a second time.
 type HedgePolicy interface {
 	// After returns the wait before the hedge, and false for no hedge.
-	After(route *contract.Route, recent link.Quantiles) (time.Duration, bool)
+	After(terms Terms, recent link.Quantiles) (time.Duration, bool)
 }
 
 // FirstReplica is the naive policy: the first replica that the manifest names.
@@ -38,7 +38,7 @@
 type NoHedge struct{}
 
 // After returns false.
-func (NoHedge) After(*contract.Route, link.Quantiles) (time.Duration, bool) {
+func (NoHedge) After(Terms, link.Quantiles) (time.Duration, bool) {
 	return 0, false
 }
 
@@ -118,12 +118,12 @@
 
 // After returns the quantile of the route and a margin; no hedge while there
 // are too few samples or for an ordinary route.
-func (QuantileHedge) After(route *contract.Route, recent link.Quantiles) (time.Duration, bool) {
-	if route.Class != contract.Urgent || route.HedgeShare == 0 || recent.Count == 0 {
+func (QuantileHedge) After(terms Terms, recent link.Quantiles) (time.Duration, bool) {
+	if terms.Class != contract.Urgent || terms.HedgeShare == 0 || recent.Count == 0 {
 		return 0, false
 	}
 	wait := recent.P95
-	switch route.HedgeQuantile {
+	switch terms.HedgeQuantile {
 	case 0.9:
 		wait = recent.P90
 	case 0.99:
@@ -131,3 +131,31 @@
 	}
 	return max(wait*hedgeMargin/100, minHedgeWait), true
 }
+
+// GoalHedge sends the hedge when most answers have come, and early enough that
+// it can still answer within the goal.
+type GoalHedge struct{}
+
+const (
+	// goalMargin is added to the 90th percentile, in 1/100: an answer that is
+	// only a little late is cheaper to wait for.
+	goalMargin = 130
+	// earliestGoal and latestGoal bound the wait, in 1/100 of the goal: earlier
+	// hedges race answers that are on their way, later ones come too late.
+	earliestGoal = 10
+	latestGoal   = 40
+	// goallessMargin takes the place of goalMargin on routes without a goal.
+	goallessMargin = 300
+)
+
+// After returns the wait before the hedge.
+func (GoalHedge) After(terms Terms, recent link.Quantiles) (time.Duration, bool) {
+	if terms.Goal <= 0 {
+		return max(recent.P90*goallessMargin/100, minHedgeWait), recent.Count > 0
+	}
+	latest := terms.Goal * latestGoal / 100
+	if recent.Count == 0 {
+		return latest, true
+	}
+	return min(max(recent.P90*goalMargin/100, terms.Goal*earliestGoal/100, minHedgeWait), latest), true
+}
--- a/internal/query/scatter/retry.go
+++ b/internal/query/scatter/retry.go
@@ -8,14 +8,13 @@
 )
 
 // retry sends a part again if that is safe, within the budget and of use.
-func (ga *gather[R, H]) retry(ctx context.Context, now time.Time, at int, cause contract.Cause, notRun bool) {
+func (ga *gather[R, H, M, A]) retry(ctx context.Context, now time.Time, at int, cause contract.Cause, notRun bool) {
 	pt := &ga.parts[at]
-	rt := ga.rq.Setting.Route
-	if !rt.Idempotent && !notRun {
+	if !ga.job.Terms.Idempotent && !notRun {
 		ga.giveUp(at, cause)
 		return
 	}
-	if cause == contract.CauseLinkBroken && ga.query.Quarantine.Count(now, ga.rq.Fingerprint) > 0 {
+	if cause == contract.CauseLinkBroken && ga.engine.Quarantine.IsSuspect(now, ga.job.Fingerprint) {
 		ga.careful = true
 	}
 	if ga.careful && !notRun {
@@ -28,7 +27,7 @@
 		ga.giveUp(at, cause)
 		return
 	}
-	if addsLoad(cause) && !ga.rq.Setting.State.Retries.TrySpend(now) {
+	if !pt.shard.Budget.TryRetry(now, cause) {
 		ga.giveUp(at, cause)
 		return
 	}
@@ -37,20 +36,13 @@
 
 // restartHelps reports whether there is another snapshot and time to answer
 // from it.
-func (ga *gather[R, H]) restartHelps(now time.Time) bool {
-	rt := ga.rq.Setting.Route
-	usual := ga.rq.Setting.State.Latency.Recent().P99
-	return ga.mayRestart && rt.Idempotent && ga.rq.AnswerBy.Sub(now) > usual
-}
-
-// addsLoad reports whether a retry after the cause adds load: a server that
-// lost the snapshot or leaves did no work, and is not asked again for a while.
-func addsLoad(cause contract.Cause) bool {
-	return cause != contract.CauseSnapshotLost && cause != contract.CauseDraining
+func (ga *gather[R, H, M, A]) restartHelps(now time.Time) bool {
+	usual := ga.job.Latency.Recent().P99
+	return ga.job.MayRestart && ga.job.Terms.Idempotent && ga.job.AnswerBy.Sub(now) > usual
 }
 
 // nextHedge returns the earliest time at which a part is due for a hedge.
-func (ga *gather[R, H]) nextHedge() (time.Time, bool) {
+func (ga *gather[R, H, M, A]) nextHedge() (time.Time, bool) {
 	if !ga.hedging || ga.careful {
 		return time.Time{}, false
 	}
@@ -68,13 +60,13 @@
 	return earliest, found
 }
 
-func (pt *partState) mayHedge() bool {
-	return !pt.over && len(pt.open) == 1 && pt.record.Hedges == 0
+func (pt *partState[A]) mayHedge() bool {
+	return !pt.over && len(pt.open) == 1 && pt.Record.Hedges == 0
 }
 
 // hedge sends a second attempt for each part that is due, while the budget
 // lasts.
-func (ga *gather[R, H]) hedge(ctx context.Context, now time.Time) {
+func (ga *gather[R, H, M, A]) hedge(ctx context.Context, now time.Time) {
 	for i := range ga.parts {
 		pt := &ga.parts[i]
 		if !pt.mayHedge() || now.Before(pt.hedgeAt) {
@@ -86,11 +78,12 @@
 			pt.hedgeAt = now.Add(max(ga.hedgeAfter/2, minHedgeWait))
 			continue
 		}
-		if !ga.rq.Setting.State.Hedges.TrySpend(now) {
-			ga.hedging = false
-			return
+		if !pt.shard.Budget.TryHedge(now) {
+			pt.hedgeAt = now.Add(max(ga.hedgeAfter, minHedgeWait))
+			continue
 		}
-		pt.record.Hedges = 1
+		pt.Record.Hedges = 1
+		ga.hedges++
 		ga.send(ctx, now, i, sv, true)
 	}
 }
--- a/internal/query/scatter/scatter_test.go
+++ b/internal/query/scatter/scatter_test.go
@@ -303,7 +303,7 @@
 	rq := newRequest(now, newView(b, 30, findRoute, "s1"))
 	mf, err := qr.pin(rq, now, nil)
 	assert.NilError(b, err)
-	ga := newGather(qr, rq, mf)
+	ga := newGather(qr.engine(), rq.job(mf))
 	b.ReportAllocs()
 	for b.Loop() {
 		if ga.choose(now, &ga.parts[3], "") == nil {
--- a/internal/world/contract/quarantine.go
+++ b/internal/world/contract/quarantine.go
@@ -12,12 +12,13 @@
 )
 
 const (
-	// quarantineAt is the number of servers lost to a fingerprint at which it
-	// is refused.
+	// suspectAt and quarantineAt are the defaults of SuspectAt and BarAt: one
+	// lost server may be chance, two hardly are.
+	suspectAt    = 1
 	quarantineAt = 2
 	// crashMemory is how long a crash counts against a fingerprint.
 	crashMemory = 10 * time.Minute
-	// crashPause is how long a fingerprint is refused after its first crash.
+	// crashPause is the default of Pause.
 	crashPause = 500 * time.Millisecond
 	// provenCount bounds the fingerprints that are known to be harmless.
 	provenCount = 1 << 14
@@ -57,6 +58,13 @@
 // Quarantine knows which requests crash servers. Its methods may be called by
 // any number of goroutines. Make one with NewQuarantine.
 type Quarantine struct {
+	// SuspectAt and BarAt are the numbers of servers lost to a fingerprint from
+	// which its requests are not repeated and are refused. They do not change.
+	SuspectAt, BarAt int
+	// Pause is how long a suspect fingerprint is refused after a crash, so that
+	// peers hear of it before it is tried again. It does not change.
+	Pause time.Duration
+
 	crashes *rcu.Value[map[uint64]Crashes]
 	// proven holds fingerprints of requests that were answered, each in the
 	// place that its low bits name.
@@ -68,6 +76,7 @@
 // NewQuarantine returns an empty quarantine.
 func NewQuarantine() *Quarantine {
 	return &Quarantine{
+		SuspectAt: suspectAt, BarAt: quarantineAt, Pause: crashPause,
 		crashes: rcu.New(map[uint64]Crashes{}),
 		proven:  make([]atomic.Uint64, provenCount),
 		flights: make([]atomic.Pointer[Flight], provenCount),
@@ -114,7 +123,12 @@
 	if !ok || now.After(cr.Until) {
 		return false
 	}
-	return len(cr.Servers) >= quarantineAt || now.Sub(cr.LastAt) < crashPause
+	return len(cr.Servers) >= qn.BarAt || len(cr.Servers) >= qn.SuspectAt && now.Sub(cr.LastAt) < qn.Pause
+}
+
+// IsSuspect reports whether requests of the fingerprint are not to be repeated.
+func (qn *Quarantine) IsSuspect(now time.Time, fingerprint uint64) bool {
+	return qn.Count(now, fingerprint) >= qn.SuspectAt
 }
 
 // Lead makes the caller the first to run a fingerprint, or returns the flight
--- /dev/null
+++ b/internal/world/contract/splitter.go
@@ -0,0 +1,37 @@
+package contract
+
+import (
+	"math"
+	"sync/atomic"
+)
+
+// goldenRatio spaces the points of a sequence evenly over [0, 1), however long
+// it is.
+const goldenRatio = 0.6180339887498949
+
+// Splitter spreads requests over weighted services. Its methods may be called
+// by any number of goroutines.
+type Splitter struct {
+	next atomic.Uint64
+}
+
+// Pick returns the service of the next request: each gets its share of any long
+// run of requests.
+func (sp *Splitter) Pick(services []WeightedService) string {
+	if len(services) == 1 {
+		return services[0].Service
+	}
+	total := 0.0
+	for _, ws := range services {
+		total += ws.Weight
+	}
+	_, point := math.Modf(float64(sp.next.Add(1)) * goldenRatio)
+	point *= total
+	for _, ws := range services {
+		if point < ws.Weight {
+			return ws.Service
+		}
+		point -= ws.Weight
+	}
+	return services[len(services)-1].Service
+}
--- a/internal/world/machine/server.go
+++ b/internal/world/machine/server.go
@@ -5,6 +5,8 @@
 import (
 	"sync/atomic"
 	"time"
+
+	"daisystage.example/daisystage/internal/world/contract"
 )
 
 const (
@@ -68,6 +70,11 @@
 	ConnectionLimit int `json:"connection_limit"`
 	// Leaving is set when the platform's record says so.
 	Leaving bool `json:"leaving"`
+	// StartedAt is when the server's process started; zero if it is not known.
+	// A server that starts again under its name is another one.
+	StartedAt time.Time `json:"started_at,omitzero"`
+	// ColdUntil is when the server is as fast as usual after its start.
+	ColdUntil time.Time `json:"cold_until,omitzero"`
 	// State is shared by all copies of the server and lives as long as its
 	// name. It is not nil in a view.
 	State *ServerState `json:"-"`
@@ -273,3 +280,27 @@
 func (sv *Server) ConnectionShare(entryVMs, spare int) int {
 	return max(sv.ConnectionLimit/max(entryVMs+spare, 1), 1)
 }
+
+// Ended takes in the end of an attempt that gave no answer. took is without the
+// way there and back.
+func (st *ServerState) Ended(now time.Time, took time.Duration, cause contract.Cause) {
+	switch cause {
+	case contract.CauseCanceled:
+		st.ObserveAtLeast(now, took)
+	case contract.CauseShed:
+		st.Overloaded(now)
+	case contract.CauseDeadline:
+		st.Overloaded(now)
+		st.ObserveAtLeast(now, took)
+	case contract.CauseDraining:
+		st.MarkLeaving(now)
+	case contract.CauseDialFailed, contract.CauseLinkBroken, contract.CauseLinkReset, contract.CauseMismatched:
+		st.Failed(now)
+	}
+}
+
+// Reported records the work that a server says it has.
+func (st *ServerState) Reported(now time.Time, load int) {
+	st.ReportedLoad.Store(int64(load))
+	st.ReportedAt.Store(now.UnixNano())
+}
--- a/internal/world/zone/zone.go
+++ b/internal/world/zone/zone.go
@@ -11,8 +11,10 @@
 	// Name is not empty.
 	Name string
 	// Delays holds the one-way delay to other zones; one that is not listed
-	// counts as unknownDelay away.
+	// counts as Else away.
 	Delays map[string]time.Duration
+	// Else is the delay to zones that are not listed; 0 takes unknownDelay.
+	Else time.Duration
 }
 
 const unknownDelay = 20 * time.Millisecond
@@ -25,6 +27,9 @@
 	if delay, ok := zn.Delays[to]; ok {
 		return delay
 	}
+	if zn.Else > 0 {
+		return zn.Else
+	}
 	return unknownDelay
 }
 
--- a/tools/generate.sh
+++ b/tools/generate.sh
@@ -13,3 +13,4 @@
   --go_out=. --go_opt=module=daisystage.example/daisystage \
   --go-grpc_out=. --go-grpc_opt=module=daisystage.example/daisystage \
   entry.proto
+"$bin/go-jsonschema" --only-models --package wire --tags json --output platform/wire/wire_gen.go platform/wire/schema.json
