--- a/internal/query/forward/forward.go
+++ b/internal/query/forward/forward.go
@@ -218,7 +218,7 @@
 	send := Send{
 		Bounds: scatter.Bounds{
 			Deadline: rn.answerBy, Idempotent: rt.Idempotent,
-			SilentAfter: link.SilentAfter(rn.state.latency.Recent().P99),
+			SilentAfter: link.SilentAfterGoal(rn.state.latency.Recent(), rt.Goal),
 		},
 		Message: &rn.call.Message, Part: len(rt.Shards) > 0,
 	}
