Hear of changes that a deaf watch missed

Change: watches of servers wait 2 s, those of the configuration take turns over the entry VMs; 410 on one prefix lists all anew; a peer with a newer version makes this one list.

--- a/internal/node/entryvm/process.go
+++ b/internal/node/entryvm/process.go
@@ -241,10 +241,8 @@
 func (ps *Process) run() {
 	ctx, cancel := context.WithCancel(context.Background())
 	ps.cancel = cancel
-	watcher := &platform.Watcher{
-		Store: ps.Platform, Prefixes: view.Prefixes(), Pace: platform.Pace{}.Defaults(), Log: ps.Log,
-		Target: platform.ViewTarget{Views: ps.Views, Confirmation: ps.Confirmation, Log: ps.Log},
-	}
+	target := platform.ViewTarget{Views: ps.Views, Confirmation: ps.Confirmation, Log: ps.Log}
+	watcher := platform.NewWatcher(ps.Platform, view.Prefixes(), target, platform.Pace{}.Defaults(), ps.Log)
 	for _, task := range []func(context.Context){
 		watcher.Run,
 		ps.Cluster.Run,
--- a/internal/node/forwardvm/process.go
+++ b/internal/node/forwardvm/process.go
@@ -30,8 +30,13 @@
 	tendEvery = 200 * time.Millisecond
 	// slowRound is the number of rounds between two looks at all links.
 	slowRound = 5
-	// longestWatch is how long a watch waits. Links to the platform that went
-	// silent are found by keep-alives, not by its end.
+	// serverWatch is how long a watch of the servers waits: changes that it may
+	// have missed are heard within the time that a server drains.
+	serverWatch = 2 * time.Second
+	// tableWatch is the time within which one of the entry VMs asks for the
+	// configuration anew; those that have an older one hear of it from peers.
+	// longestWatch bounds the wait of each.
+	tableWatch   = 600 * time.Millisecond
 	longestWatch = 30 * time.Second
 	// watchPause gathers changes that come close together into one answer.
 	watchPause = 150 * time.Millisecond
@@ -81,6 +86,7 @@
 
 	// views tells peers the version in force.
 	views     *rcu.Value[view.View]
+	watcher   *platform.Watcher
 	startedAt time.Time
 	leaving   atomic.Bool
 	servers   []*http.Server
@@ -140,7 +146,7 @@
 			EntryAddress: cg.EntryAddress, Incarnation: uint64(now.UnixNano()),
 		},
 		Seeds: cg.Peers, Transport: transport, Views: ps.views, Confirmation: ps.Confirmation, Quarantine: quarantine,
-		PlatformDown: func() bool { return false }, Log: ps.Log,
+		PlatformDown: func() bool { return false }, Log: ps.Log, Newer: ps.peerIsNewer,
 	}
 	ps.Cluster.Init()
 	ps.Service = &forward.Service{
@@ -203,12 +209,9 @@
 func (ps *Process) run(fe FrontEnd) {
 	ctx, cancel := context.WithCancel(context.Background())
 	ps.cancel = cancel
-	watcher := &platform.Watcher{
-		Store: fe.Store, Prefixes: []string{view.PrefixTable, view.PrefixMembers},
-		Target: &fleetTarget{process: ps, codec: fe.Objects},
-		Pace:   platform.Pace{Wait: longestWatch, Pause: watchPause}, Log: ps.Log,
-	}
-	for _, task := range []func(context.Context){watcher.Run, ps.Cluster.Run, ps.tend} {
+	ps.watcher = platform.NewWatcher(fe.Store, []string{view.PrefixTable, view.PrefixMembers},
+		&fleetTarget{process: ps, codec: fe.Objects}, platform.Pace{Wait: ps.watchWait, Pause: watchPause}, ps.Log)
+	for _, task := range []func(context.Context){ps.watcher.Run, ps.Cluster.Run, ps.tend} {
 		ps.work.Go(func() { task(ctx) })
 	}
 }
--- a/internal/node/forwardvm/upkeep.go
+++ b/internal/node/forwardvm/upkeep.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"strings"
 	"time"
 
@@ -40,6 +41,7 @@
 			vw.Version, vw.Digest = after.Version, uint64(after.Version)
 			return vw
 		})
+		ps.Cluster.Kick()
 		events.TableInForce.Log(ps.Log, zap.Int64("version", after.Version), zap.Int("routes", len(after.Routes)))
 	}
 }
@@ -60,6 +62,21 @@
 	ft.process.Confirmation.Heard(asOf)
 }
 
+// watchWait is how long a watch of a prefix waits.
+func (ps *Process) watchWait(prefix string) time.Duration {
+	if prefix == view.PrefixMembers {
+		return serverWatch
+	}
+	// The entry VMs take turns, at random times.
+	spread := time.Duration(ps.liveEntryVMs(time.Now())) * tableWatch
+	return min(max(spread/2+rand.N(spread), serverWatch), longestWatch)
+}
+
+// peerIsNewer is told of a peer that has a newer configuration in force.
+func (ps *Process) peerIsNewer() {
+	ps.watcher.Refresh(view.PrefixTable)
+}
+
 // tend keeps shares, budgets and links up to date until the context ends.
 func (ps *Process) tend(ctx context.Context) {
 	ticker := time.NewTicker(tendEvery)
--- a/internal/peer/entry/cluster.go
+++ b/internal/peer/entry/cluster.go
@@ -80,6 +80,8 @@
 	// PlatformDown reports whether this process's own calls are unanswered.
 	PlatformDown func() bool
 	Log          *zap.Logger
+	// Newer is told when a peer has a newer version in force; it may be nil.
+	Newer func()
 
 	leaving atomic.Bool
 	members *rcu.Value[members]
@@ -254,6 +256,9 @@
 func (cr *Cluster) take(now time.Time, hb *entrypb.Heartbeat) {
 	sender := decodeMember(now, hb.Sender)
 	sender.Version, sender.Digest = hb.Version, hb.Digest
+	if cr.Newer != nil && hb.Version > cr.Views.Load().Version {
+		cr.Newer()
+	}
 	told := []machine.EntryVM{sender}
 	for _, mb := range hb.Members {
 		told = append(told, decodeMember(now, mb))
--- a/internal/peer/platform/watcher.go
+++ b/internal/peer/platform/watcher.go
@@ -46,8 +46,10 @@
 
 // Pace says how often a Watcher calls.
 type Pace struct {
-	// Wait is how long a watch waits for a change.
-	Wait time.Duration
+	// Wait returns how long a watch of a prefix waits for a change. A watch may
+	// miss changes when the platform drops its history, so that this bounds how
+	// long they go unheard.
+	Wait func(prefix string) time.Duration
 	// Pause is the time between an answer and the next watch, so that changes
 	// that come close together are heard of in one answer.
 	Pause time.Duration
@@ -55,10 +57,10 @@
 
 // Defaults returns the pace at which each answer confirms the view.
 func (Pace) Defaults() Pace {
-	return Pace{Wait: watchWait}
+	return Pace{Wait: func(string) time.Duration { return watchWait }}
 }
 
-// Watcher keeps a target up to date with the platform.
+// Watcher keeps a target up to date with the platform. Make one with NewWatcher.
 type Watcher struct {
 	Store    Reader
 	Prefixes []string
@@ -73,6 +75,29 @@
 	slow map[string]bool
 	// back is not nil while a prefix waits after a failure.
 	back chan struct{}
+	// refresh tells the watch of a prefix to list it anew.
+	refresh map[string]chan struct{}
+}
+
+// NewWatcher returns a watcher that is ready to run.
+func NewWatcher(store Reader, prefixes []string, target Target, pace Pace, log *zap.Logger) *Watcher {
+	wt := &Watcher{
+		Store: store, Prefixes: prefixes, Target: target, Pace: pace, Log: log,
+		heard: map[string]time.Time{}, slow: map[string]bool{}, refresh: map[string]chan struct{}{},
+	}
+	for _, prefix := range prefixes {
+		wt.refresh[prefix] = make(chan struct{}, 1)
+	}
+	return wt
+}
+
+// Refresh lists a prefix anew, in place of the watch that waits. It does not
+// block.
+func (wt *Watcher) Refresh(prefix string) {
+	select {
+	case wt.refresh[prefix] <- struct{}{}:
+	default:
+	}
 }
 
 // ViewTarget is the Target of a published view.
@@ -130,7 +155,6 @@
 
 // Run watches all prefixes until the context ends.
 func (wt *Watcher) Run(ctx context.Context) {
-	wt.heard, wt.slow = map[string]time.Time{}, map[string]bool{}
 	var watches sync.WaitGroup
 	for _, prefix := range wt.Prefixes {
 		watches.Go(func() { wt.runPrefix(ctx, prefix) })
@@ -142,17 +166,24 @@
 	from := int64(-1)
 	backoff := firstBackoff
 	for ctx.Err() == nil {
-		next, err := wt.step(ctx, prefix, from)
+		next, refreshed, err := wt.stepOrRefresh(ctx, prefix, from)
+		if refreshed {
+			from = -1
+			continue
+		}
 		if err == nil {
 			from, backoff = next, firstBackoff
 			wt.answered()
 			sleep(ctx, wt.Pace.Pause)
 			continue
 		}
-		back := wt.failed()
 		if errors.Is(err, ErrCompacted) {
 			from = -1
+			wt.refreshOthers(prefix)
+			events.WatchFailed.Log(wt.Log, zap.String("prefix", prefix), zap.Error(err))
+			continue
 		}
+		back := wt.failed()
 		if ctx.Err() == nil {
 			events.WatchFailed.Log(wt.Log, zap.String("prefix", prefix), zap.Error(err))
 		}
@@ -161,6 +192,40 @@
 	}
 }
 
+// stepOrRefresh is step, unless the prefix is to be listed anew meanwhile.
+func (wt *Watcher) stepOrRefresh(ctx context.Context, prefix string, from int64) (next int64, refreshed bool, err error) {
+	if from < 0 {
+		next, err = wt.step(ctx, prefix, from)
+		return next, false, err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	over := make(chan struct{})
+	asked := make(chan bool, 1)
+	go func() {
+		select {
+		case <-wt.refresh[prefix]:
+			cancel()
+			asked <- true
+		case <-over:
+			asked <- false
+		}
+	}()
+	next, err = wt.step(ctx, prefix, from)
+	close(over)
+	return next, <-asked, err
+}
+
+// refreshOthers lists all other prefixes anew: their watches may have missed
+// what a dropped history held, without being told.
+func (wt *Watcher) refreshOthers(but string) {
+	for _, prefix := range wt.Prefixes {
+		if prefix != but {
+			wt.Refresh(prefix)
+		}
+	}
+}
+
 // failed returns a channel that is closed when a prefix is answered again.
 func (wt *Watcher) failed() <-chan struct{} {
 	wt.lock.Lock()
@@ -193,7 +258,7 @@
 		wt.confirm(prefix, startedAt)
 		return version, nil
 	}
-	wait := wt.Pace.Wait
+	wait := wt.Pace.Wait(prefix)
 	if wt.isSlow(prefix) {
 		wait = min(wait, slowWatchWait)
 	}
