Hedge the parts that lag behind their siblings, and keep links warm

Cause: a hedge went out at 1.3 times the 90th percentile and then waited for a new connection: two ways to another zone and 6 ms at the server. Change: once 70% of the parts of a request are in, the others are behind at 1.5 times that time; one unused link is kept to each server in use; a server that reports a free slot counts as having room.

--- a/internal/node/forwardvm/upkeep.go
+++ b/internal/node/forwardvm/upkeep.go
@@ -11,6 +11,7 @@
 	"daisystage.example/daisystage/internal/node/events"
 	"daisystage.example/daisystage/internal/query/forward"
 	"daisystage.example/daisystage/internal/world/contract"
+	"daisystage.example/daisystage/internal/world/machine"
 	"daisystage.example/daisystage/internal/world/view"
 )
 
@@ -85,6 +86,7 @@
 		select {
 		case now := <-ticker.C:
 			ps.tendOnce(now, round%slowRound == 0)
+			ps.Backend.Warm(ctx, now, ps.worthWarming(now))
 		case <-ctx.Done():
 			return
 		}
@@ -108,6 +110,30 @@
 	})
 }
 
+// wideShare is the number of connections of one entry VM to a server from which
+// links are opened before there is traffic.
+const wideShare = 2
+
+// worthWarming returns the servers that the next request may go to: those of
+// services in use, and of all that routes name where connections are plenty.
+func (ps *Process) worthWarming(now time.Time) []*machine.Server {
+	fl := ps.Fleets.Load()
+	if fl.Table == nil || ps.leaving.Load() {
+		return nil
+	}
+	entryVMs := ps.liveEntryVMs(now)
+	var servers []*machine.Server
+	for _, name := range fl.Table.Targets() {
+		inUse := ps.Service.Budgets.InUse(now, name)
+		for _, sv := range fl.Live(name) {
+			if inUse || sv.ConnectionShare(entryVMs, 0) >= wideShare {
+				servers = append(servers, sv)
+			}
+		}
+	}
+	return servers
+}
+
 // liveEntryVMs counts the entry VMs that may hold connections to servers.
 func (ps *Process) liveEntryVMs(now time.Time) int {
 	count := 0
--- a/internal/peer/backend/client.go
+++ b/internal/peer/backend/client.go
@@ -344,6 +344,19 @@
 	})
 }
 
+// Warm opens a link in advance to each of the servers that has none to spare,
+// but for those that failed a short while ago.
+func (cl *Client) Warm(ctx context.Context, now time.Time, servers []*machine.Server) {
+	for _, sv := range servers {
+		if sv.IsLeaving(now) || sv.State.Suspect(now) {
+			continue
+		}
+		pl := cl.pool(sv)
+		pl.trim(now)
+		pl.warm(ctx)
+	}
+}
+
 // Poll reads load and health of servers until the context ends, some each
 // second. servers returns those in the current view.
 func (cl *Client) Poll(ctx context.Context, servers func() []*machine.Server) {
--- a/internal/peer/backend/pool.go
+++ b/internal/peer/backend/pool.go
@@ -193,6 +193,22 @@
 	}
 }
 
+// warm opens a link in advance if none is unused, so that a request that comes
+// next does not wait for it. It does not wait itself.
+func (pl *pool) warm(ctx context.Context) {
+	if len(pl.idle) > 0 || !pl.tryOpen(pl.trafficShare()) {
+		return
+	}
+	go func() {
+		cn, err := pl.connect(ctx)
+		if err != nil {
+			pl.server.State.Failed(time.Now())
+			return
+		}
+		pl.give(time.Now(), cn)
+	}()
+}
+
 // condemn keeps all links that were opened before a time from being used.
 func (pl *pool) condemn(openedBefore time.Time) {
 	if pl.condemnedBefore.Swap(openedBefore.UnixNano()) < openedBefore.UnixNano() {
--- a/internal/query/forward/budgets.go
+++ b/internal/query/forward/budgets.go
@@ -42,6 +42,12 @@
 	return value.(*contract.ServiceBudget)
 }
 
+// InUse reports whether requests for a service came in the last window.
+func (bg *Budgets) InUse(now time.Time, service string) bool {
+	value, ok := bg.services.Load(service)
+	return ok && value.(*contract.ServiceBudget).IsUsed(now)
+}
+
 func asRefusal(err error) *contract.Refusal {
 	if refusal := (*contract.Refusal)(nil); errors.As(err, &refusal) {
 		return refusal
--- a/internal/query/scatter/gather.go
+++ b/internal/query/scatter/gather.go
@@ -28,6 +28,8 @@
 	hedges     int
 	hedgeAfter time.Duration
 	hedging    bool
+	// expected is set when the hedges of the parts that are left were moved.
+	expected bool
 	// wakeAt ends the wait for a canary; zero if there is none.
 	wakeAt time.Time
 	// vanished is set when all replicas of a shard lost the snapshot and the
@@ -321,6 +323,7 @@
 	pt := &ga.parts[rs.part]
 	pt.Answer, pt.Answered, pt.Failed = rs.answer, true, false
 	ga.answered++
+	ga.expectRest(now, now.Sub(pt.startedAt))
 	pt.Record.Server = winner.server.Name
 	pt.Record.Took = now.Sub(pt.startedAt)
 	ga.end(pt)
@@ -330,6 +333,25 @@
 	ga.engine.Quarantine.Proved(ga.job.Fingerprint)
 }
 
+// expectRest moves the hedges of the parts that are left forward, once enough
+// others were answered to tell that they are behind.
+func (ga *gather[R, H, M, A]) expectRest(now time.Time, elapsed time.Duration) {
+	if ga.expected {
+		return
+	}
+	behind, ok := ga.engine.Hedges.Behind(ga.answered, len(ga.parts), elapsed)
+	if !ok {
+		return
+	}
+	ga.expected = true
+	due := now.Add(behind - elapsed)
+	for i := range ga.parts {
+		if pt := &ga.parts[i]; pt.hedgeAt.After(due) {
+			pt.hedgeAt = due
+		}
+	}
+}
+
 func (ga *gather[R, H, M, A]) giveUp(at int, cause contract.Cause) {
 	ga.parts[at].Record.Cause = cause
 	ga.end(&ga.parts[at])
--- a/internal/query/scatter/policy.go
+++ b/internal/query/scatter/policy.go
@@ -21,6 +21,10 @@
 type HedgePolicy interface {
 	// After returns the wait before the hedge, and false for no hedge.
 	After(terms Terms, recent link.Quantiles) (time.Duration, bool)
+	// Behind is asked when another part was answered, elapsed after the start.
+	// It returns the time since the start from which the parts that are left
+	// are behind the others, and false while that can't be told.
+	Behind(answered, total int, elapsed time.Duration) (time.Duration, bool)
 }
 
 // FirstReplica is the naive policy: the first replica that the manifest names.
@@ -42,6 +46,11 @@
 	return 0, false
 }
 
+// Behind returns false.
+func (NoHedge) Behind(int, int, time.Duration) (time.Duration, bool) {
+	return 0, false
+}
+
 // LeastExpected chooses the replica that is expected to answer first, by the way
 // there, its latency and its work. Servers that failed a short while ago come
 // last; for a second attempt other zones come first.
@@ -132,6 +141,11 @@
 	return max(wait*hedgeMargin/100, minHedgeWait), true
 }
 
+// Behind returns false: the route's latencies decide alone.
+func (QuantileHedge) Behind(int, int, time.Duration) (time.Duration, bool) {
+	return 0, false
+}
+
 // GoalHedge sends the hedge when most answers have come, and early enough that
 // it can still answer within the goal.
 type GoalHedge struct{}
@@ -144,6 +158,14 @@
 	// hedges race answers that are on their way, later ones come too late.
 	earliestGoal = 10
 	latestGoal   = 40
+	// mostShare is the share of the parts, in 1/100, whose time tells what the
+	// request costs: parts of one request take similar times.
+	mostShare = 70
+	// behindFactor, in 1/100, and behindMargin are the time beyond that of most
+	// parts after which a part is behind: servers differ in speed, and some are
+	// a zone away.
+	behindFactor = 150
+	behindMargin = 5 * time.Millisecond
 	// goallessMargin takes the place of goalMargin on routes without a goal.
 	goallessMargin = 300
 )
@@ -159,3 +181,11 @@
 	}
 	return min(max(recent.P90*goalMargin/100, terms.Goal*earliestGoal/100, minHedgeWait), latest), true
 }
+
+// Behind compares with the time of most parts of the same request.
+func (GoalHedge) Behind(answered, total int, elapsed time.Duration) (time.Duration, bool) {
+	if total < 2 || answered*100 < total*mostShare {
+		return 0, false
+	}
+	return elapsed*behindFactor/100 + behindMargin, true
+}
--- a/internal/query/scatter/retry.go
+++ b/internal/query/scatter/retry.go
@@ -73,7 +73,7 @@
 			continue
 		}
 		sv := ga.choose(now, pt, pt.open[0].server.Zone)
-		if sv == nil || !sv.HasRoom() {
+		if sv == nil || !sv.HasRoom(now) {
 			// Full replicas may be overload, where a hedge does harm.
 			pt.hedgeAt = now.Add(max(ga.hedgeAfter/2, minHedgeWait))
 			continue
--- a/internal/world/contract/table.go
+++ b/internal/world/contract/table.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -135,3 +136,17 @@
 	}
 	return nil
 }
+
+// Targets returns the names of the services that requests may go to.
+func (tb *Table) Targets() []string {
+	named := map[string]bool{}
+	for _, fr := range tb.Routes {
+		for _, shard := range fr.Shards {
+			named[shard] = true
+		}
+		for _, ws := range fr.Services {
+			named[ws.Service] = named[ws.Service] || ws.Weight > 0
+		}
+	}
+	return slices.Sorted(maps.Keys(named))
+}
--- a/internal/world/contract/window.go
+++ b/internal/world/contract/window.go
@@ -100,6 +100,11 @@
 	sb.requests.Add(now, sb.share.Load().Window)
 }
 
+// IsUsed reports whether requests came within the window.
+func (sb *ServiceBudget) IsUsed(now time.Time) bool {
+	return sb.requests.Sum(now, sb.share.Load().Window, stepsPerWindow) > 0
+}
+
 // Left returns how many extra sends are allowed now.
 func (sb *ServiceBudget) Left(now time.Time) float64 {
 	al := sb.share.Load()
--- a/internal/world/machine/server.go
+++ b/internal/world/machine/server.go
@@ -215,9 +215,14 @@
 	return at != 0 && now.UnixNano()-at < int64(readmitAfter)
 }
 
-// HasRoom reports whether the server is below its in-flight limit.
-func (sv *Server) HasRoom() bool {
-	return sv.State.InFlight.Load() < sv.State.CurrentLimit()
+// HasRoom reports whether the server is below its in-flight limit, or said a
+// short while ago that it has a free slot.
+func (sv *Server) HasRoom(now time.Time) bool {
+	st := sv.State
+	if now.UnixNano()-st.ReportedAt.Load() < int64(reportAge) && st.ReportedLoad.Load() < int64(sv.Slots) {
+		return true
+	}
+	return st.InFlight.Load() < st.CurrentLimit()
 }
 
 // Observe takes the time of one answer into the smoothed latency. Rises count
