Learn which servers reject, and keep budget for the parts that decide

Change: the share of rejections counts in the choice of a replica; 40% of the allowance is left to sends without which the answer is of no use.

--- a/internal/query/scatter/engine.go
+++ b/internal/query/scatter/engine.go
@@ -19,9 +19,11 @@
 
 // ExtraBudget bounds the sends of a shard beyond the first.
 type ExtraBudget interface {
-	TryHedge(now time.Time) bool
+	// TryHedge is asked for a second attempt while the first is open. decides
+	// is set if the answer is of no use without the part.
+	TryHedge(now time.Time, decides bool) bool
 	// TryRetry is asked after an attempt ended with a cause.
-	TryRetry(now time.Time, cause contract.Cause) bool
+	TryRetry(now time.Time, cause contract.Cause, decides bool) bool
 }
 
 // Shard is one part of a job with the servers that can answer it.
--- a/internal/query/scatter/retry.go
+++ b/internal/query/scatter/retry.go
@@ -27,7 +27,7 @@
 		ga.giveUp(at, cause)
 		return
 	}
-	if !pt.shard.Budget.TryRetry(now, cause) {
+	if !pt.shard.Budget.TryRetry(now, cause, ga.decides()) {
 		ga.giveUp(at, cause)
 		return
 	}
@@ -41,6 +41,11 @@
 	return ga.job.MayRestart && ga.job.Terms.Idempotent && ga.job.AnswerBy.Sub(now) > usual
 }
 
+// decides reports whether the answer is of no use if one more part is lost.
+func (ga *gather[R, H, M, A]) decides() bool {
+	return ga.answered+ga.waiting <= ga.needed
+}
+
 // nextHedge returns the earliest time at which a part is due for a hedge.
 func (ga *gather[R, H, M, A]) nextHedge() (time.Time, bool) {
 	if !ga.hedging || ga.careful {
@@ -78,7 +83,7 @@
 			pt.hedgeAt = now.Add(max(ga.hedgeAfter/2, minHedgeWait))
 			continue
 		}
-		if !pt.shard.Budget.TryHedge(now) {
+		if !pt.shard.Budget.TryHedge(now, ga.decides()) {
 			pt.hedgeAt = now.Add(max(ga.hedgeAfter, minHedgeWait))
 			continue
 		}
--- a/internal/query/scatter/scatter.go
+++ b/internal/query/scatter/scatter.go
@@ -192,13 +192,13 @@
 type routeBudget struct{ state *contract.RouteState }
 
 // TryHedge is of ExtraBudget.
-func (rb routeBudget) TryHedge(now time.Time) bool {
+func (rb routeBudget) TryHedge(now time.Time, _ bool) bool {
 	return rb.state.Hedges.TrySpend(now)
 }
 
 // TryRetry is of ExtraBudget. A server that lost the snapshot or leaves did no
 // work, and is not asked again for a while, so a retry adds no load.
-func (rb routeBudget) TryRetry(now time.Time, cause contract.Cause) bool {
+func (rb routeBudget) TryRetry(now time.Time, cause contract.Cause, _ bool) bool {
 	return cause == contract.CauseSnapshotLost || cause == contract.CauseDraining || rb.state.Retries.TrySpend(now)
 }
 
--- a/internal/world/contract/window.go
+++ b/internal/world/contract/window.go
@@ -14,6 +14,9 @@
 	// that came but were not counted here, and sends that were counted late,
 	// take the rest.
 	safeShare = 0.85
+	// reserveShare is the part of an allowance that is kept for sends without
+	// which an answer is of no use.
+	reserveShare = 0.4
 )
 
 // Allowance bounds the sends to a service beyond the first of each request, for
@@ -105,23 +108,29 @@
 	return sb.requests.Sum(now, sb.share.Load().Window, stepsPerWindow) > 0
 }
 
-// Left returns how many extra sends are allowed now.
-func (sb *ServiceBudget) Left(now time.Time) float64 {
+// left returns how many extra sends are allowed now, and how many in the window.
+func (sb *ServiceBudget) left(now time.Time) (left, allowed float64) {
 	al := sb.share.Load()
 	// A step more of extra sends and a step less of requests make up for steps
 	// that are partly outside the window.
 	extra := sb.extra.Sum(now, al.Window, stepsPerWindow+1)
 	requests := sb.requests.Sum(now, al.Window, stepsPerWindow-1)
-	allowed := al.Ratio * float64(requests)
+	allowed = al.Ratio * float64(requests)
 	if now.Sub(sb.startedAt) > al.Window {
 		allowed += al.Slack
 	}
-	return allowed - float64(extra)
+	return allowed - float64(extra), allowed
 }
 
-// TrySpend counts an extra send if it is allowed.
-func (sb *ServiceBudget) TrySpend(now time.Time) bool {
-	if sb.Left(now) < 1 {
+// trySpend counts an extra send if it is allowed. Those that do not decide
+// about an answer leave a reserve for those that do.
+func (sb *ServiceBudget) trySpend(now time.Time, decides bool) bool {
+	left, allowed := sb.left(now)
+	reserve := 0.0
+	if !decides {
+		reserve = allowed * reserveShare
+	}
+	if left-reserve < 1 {
 		sb.Refused.Add(1)
 		return false
 	}
@@ -130,12 +139,12 @@
 }
 
 // TryHedge counts a second send of a part that has no answer yet.
-func (sb *ServiceBudget) TryHedge(now time.Time) bool {
-	return sb.TrySpend(now)
+func (sb *ServiceBudget) TryHedge(now time.Time, decides bool) bool {
+	return sb.trySpend(now, decides)
 }
 
 // TryRetry counts a send after an attempt that ended with a cause. One that did
 // not reach the server is no extra send.
-func (sb *ServiceBudget) TryRetry(now time.Time, cause Cause) bool {
-	return cause == CauseDialFailed || cause == CauseNoLink || sb.TrySpend(now)
+func (sb *ServiceBudget) TryRetry(now time.Time, cause Cause, decides bool) bool {
+	return cause == CauseDialFailed || cause == CauseNoLink || sb.trySpend(now, decides)
 }
--- a/internal/world/machine/server.go
+++ b/internal/world/machine/server.go
@@ -55,6 +55,20 @@
 	reportShare = 4
 	// reportAge is how long a load report is used as a hint.
 	reportAge = 3 * time.Second
+	// shareUnit is the whole of a share in fixed point, and rejectWeight the
+	// weight of one answer in the share of rejections, in 1/100.
+	shareUnit    = 1000
+	rejectWeight = 15
+	// rejectHalfLife is the time in which a share of rejections counts half
+	// while the server is not asked.
+	rejectHalfLife = 2 * time.Second
+	// rejectCost is what a rejection costs, in answers of the server: the way
+	// there and back, and an extra send that others may need.
+	rejectCost = 3
+	// leastRejectCost bounds that cost from below for fast servers.
+	leastRejectCost = 5 * time.Millisecond
+	// mostRejects keeps the expected number of sends finite.
+	mostRejects = 950
 )
 
 // Server is one backend server.
@@ -106,6 +120,12 @@
 	LatencyAt atomic.Int64
 	// UsualNanos is the latency of the server while it is not in full use.
 	UsualNanos atomic.Int64
+	// Rejects is the smoothed share of parts that the server rejected without
+	// running them, in 1/1000.
+	Rejects atomic.Int64
+	// AnsweredAt is when the server last answered or rejected a part, in Unix
+	// nanoseconds.
+	AnsweredAt atomic.Int64
 	// Lost is the snapshot that the server last said it does not hold.
 	Lost atomic.Pointer[LostSnapshot]
 }
@@ -142,6 +162,7 @@
 // usual, and falls while it is slow. most is the highest limit.
 func (st *ServerState) Succeeded(now time.Time, took time.Duration, most int64) {
 	st.Observe(now, took)
+	st.observeRejects(now, 0)
 	if st.isSlow() {
 		st.lower(now, slowDecrease)
 		return
@@ -277,7 +298,36 @@
 		load += max(st.ReportedLoad.Load()-inFlight, 0) / reportShare
 	}
 	waiting := max(load+1-int64(sv.Slots), 0) + overLimit*max(inFlight+1-st.CurrentLimit(), 0)
-	return latency + latency*time.Duration(waiting)/time.Duration(sv.Slots)
+	return latency + latency*time.Duration(waiting)/time.Duration(sv.Slots) + sv.rejectPenalty(now, latency)
+}
+
+// rejectPenalty returns the time that rejections are expected to cost.
+func (sv *Server) rejectPenalty(now time.Time, latency time.Duration) time.Duration {
+	share := sv.State.RejectShare(now)
+	if share == 0 {
+		return 0
+	}
+	cost := max(latency, leastRejectCost) * rejectCost
+	return cost * time.Duration(share) / time.Duration(shareUnit-share)
+}
+
+// RejectShare returns the share of parts that the server is expected to reject,
+// in 1/1000 and below 1000. It fades while the server is not asked.
+func (st *ServerState) RejectShare(now time.Time) int64 {
+	share := st.Rejects.Load()
+	idle := time.Duration(now.UnixNano() - st.AnsweredAt.Load())
+	if share > 0 && idle > rejectHalfLife {
+		share >>= min(idle/rejectHalfLife, longestDecay)
+	}
+	return min(share, mostRejects)
+}
+
+// observeRejects takes in an answer, or a rejection as shareUnit.
+func (st *ServerState) observeRejects(now time.Time, seen int64) {
+	share := st.RejectShare(now)
+	// A lost race between two answers loses one of them.
+	st.Rejects.Store(share + (seen-share)*rejectWeight/100)
+	st.AnsweredAt.Store(now.UnixNano())
 }
 
 // ConnectionShare returns how many connections one of entryVMs processes may
@@ -294,6 +344,7 @@
 		st.ObserveAtLeast(now, took)
 	case contract.CauseShed:
 		st.Overloaded(now)
+		st.observeRejects(now, shareUnit)
 	case contract.CauseDeadline:
 		st.Overloaded(now)
 		st.ObserveAtLeast(now, took)
