--- a/internal/world/contract/window.go
+++ b/internal/world/contract/window.go
@@ -14,9 +14,9 @@
 	// that came but were not counted here, and sends that were counted late,
 	// take the rest.
 	safeShare = 0.85
-	// reserveShare is the part of an allowance that is kept for sends without
-	// which an answer is of no use.
-	reserveShare = 0.4
+	// mostReserve bounds the part of an allowance that is kept for sends
+	// without which an answer is of no use.
+	mostReserve = 0.5
 )
 
 // Allowance bounds the sends to a service beyond the first of each request, for
@@ -89,6 +89,8 @@
 	startedAt time.Time
 	requests  SlidingCount
 	extra     SlidingCount
+	// decisive counts the extra sends without which an answer was of no use.
+	decisive SlidingCount
 	// Refused counts the extra sends that were not allowed.
 	Refused atomic.Int64
 }
@@ -123,18 +125,21 @@
 }
 
 // trySpend counts an extra send if it is allowed. Those that do not decide
-// about an answer leave a reserve for those that do.
+// about an answer leave as much to those that do as they took of late.
 func (sb *ServiceBudget) trySpend(now time.Time, decides bool) bool {
 	left, allowed := sb.left(now)
 	reserve := 0.0
 	if !decides {
-		reserve = allowed * reserveShare
+		reserve = min(allowed*mostReserve, float64(sb.decisive.Sum(now, sb.share.Load().Window, stepsPerWindow)))
 	}
 	if left-reserve < 1 {
 		sb.Refused.Add(1)
 		return false
 	}
 	sb.extra.Add(now, sb.share.Load().Window)
+	if decides {
+		sb.decisive.Add(now, sb.share.Load().Window)
+	}
 	return true
 }
 
