--- a/internal/node/forwardvm/process.go
+++ b/internal/node/forwardvm/process.go
@@ -2,14 +2,17 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
 	"google.golang.org/grpc"
 
 	"daisystage.example/daisystage/internal/container/rcu"
@@ -55,6 +58,9 @@
 	headerTimeout = 10 * time.Second
 	// headerBytes bounds the header of one request.
 	headerBytes = 64 << 10
+	// silentAfter is the time without acknowledgment after which a connection is
+	// taken for broken: three retransmissions on links of this kind.
+	silentAfter = 600 * time.Millisecond
 	// zoneDelay stands in for the delay to other zones, which the settings do
 	// not tell.
 	zoneDelay = 4 * time.Millisecond
@@ -119,9 +125,16 @@
 	return ps, ps.close, nil
 }
 
-// dial makes connections whose silence shows within seconds.
+// dial makes connections whose silence shows soon: what was sent and is not
+// acknowledged by the other end's machine breaks them.
 func dial(ctx context.Context, network, address string) (net.Conn, error) {
-	dialer := net.Dialer{KeepAliveConfig: LinkKeepAlive()}
+	dialer := net.Dialer{KeepAliveConfig: LinkKeepAlive(), Control: func(_, _ string, rc syscall.RawConn) error {
+		var failed error
+		err := rc.Control(func(descriptor uintptr) {
+			failed = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silentAfter.Milliseconds()))
+		})
+		return errors.Join(err, failed)
+	}}
 	return dialer.DialContext(ctx, network, address)
 }
 
--- a/internal/node/forwardvm/upkeep.go
+++ b/internal/node/forwardvm/upkeep.go
@@ -166,6 +166,9 @@
 		for _, ms := range pt.Misses {
 			missed = append(missed, pt.Shard+"/"+ms.Server+":"+string(ms.Cause))
 		}
+		if pt.Why != "" {
+			missed = append(missed, pt.Shard+":"+string(pt.Why))
+		}
 	}
 	event.Log(ob.log,
 		zap.String("request_id", rc.ID), zap.String("route", rc.Route), zap.Int64("table_version", rc.TableVersion),
--- a/internal/peer/backend/client.go
+++ b/internal/peer/backend/client.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -176,7 +177,7 @@
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	if bounds.Idempotent {
+	if bounds.Idempotent && bounds.SilentAfter > 0 {
 		timer := time.AfterFunc(bounds.SilentAfter, func() { cl.checkSilent(ctx, pl, cn, pb, now, bounds.SilentAfter, cancel) })
 		defer timer.Stop()
 	}
@@ -231,6 +232,9 @@
 func (cl *Client) failed(ctx context.Context, pl *pool, cn *conn, pb probe, written bool, err error) error {
 	pl.discard(cn)
 	cause := causeOf(ctx)
+	if cause == contract.CauseLinkBroken && errors.Is(err, syscall.ETIMEDOUT) {
+		cause = contract.CauseLinkSilent
+	}
 	if cause == contract.CauseLinkBroken && cl.answers(ctx, pl, pb) {
 		cause = contract.CauseLinkReset
 	}
--- a/internal/query/forward/forward.go
+++ b/internal/query/forward/forward.go
@@ -216,10 +216,7 @@
 		jb.Shards[i] = scatter.Shard{Name: name, Replicas: rn.fleet.Live(name), Budget: budget}
 	}
 	send := Send{
-		Bounds: scatter.Bounds{
-			Deadline: rn.answerBy, Idempotent: rt.Idempotent,
-			SilentAfter: link.SilentAfterGoal(rn.state.latency.Recent(), rt.Goal),
-		},
+		Bounds:  scatter.Bounds{Deadline: rn.answerBy, Idempotent: rt.Idempotent},
 		Message: &rn.call.Message, Part: len(rt.Shards) > 0,
 	}
 	jb.Message = func(*scatter.Shard, int32) Send { return send }
--- a/internal/query/scatter/gather.go
+++ b/internal/query/scatter/gather.go
@@ -288,7 +288,8 @@
 	}
 	cause, notRun := causeOf(rs.err)
 	ga.mayHaveRun = ga.mayHaveRun || !notRun
-	if notRun {
+	if notRun || cause == contract.CauseLinkSilent {
+		// What was sent on a silent link most likely never arrived.
 		pt.ran--
 	}
 	if cause == contract.CauseServerError {
--- a/internal/query/scatter/retry.go
+++ b/internal/query/scatter/retry.go
@@ -11,6 +11,7 @@
 func (ga *gather[R, H, M, A]) retry(ctx context.Context, now time.Time, at int, cause contract.Cause, notRun bool) {
 	pt := &ga.parts[at]
 	if !ga.job.Terms.Idempotent && !notRun {
+		pt.Record.Why = contract.WhyMayHaveRun
 		ga.giveUp(at, cause)
 		return
 	}
@@ -18,16 +19,19 @@
 		ga.careful = true
 	}
 	if ga.careful && !notRun {
+		pt.Record.Why = contract.WhySuspect
 		ga.giveUp(at, cause)
 		return
 	}
 	sv := ga.choose(now, pt, "")
 	if sv == nil {
+		pt.Record.Why = contract.WhyNoReplica
 		ga.vanished = ga.vanished || cause == contract.CauseSnapshotLost && ga.restartHelps(now)
 		ga.giveUp(at, cause)
 		return
 	}
 	if !pt.shard.Budget.TryRetry(now, cause, ga.decides()) {
+		pt.Record.Why = contract.WhyBudget
 		ga.giveUp(at, cause)
 		return
 	}
--- a/internal/query/scatter/scatter.go
+++ b/internal/query/scatter/scatter.go
@@ -42,7 +42,7 @@
 	// Idempotent attempts may be cut off and asked again.
 	Idempotent bool
 	// SilentAfter is the wait for a first byte after which the link is
-	// suspect.
+	// suspect; 0 leaves that to the operating system.
 	SilentAfter time.Duration
 }
 
--- a/internal/world/contract/receipt.go
+++ b/internal/world/contract/receipt.go
@@ -36,8 +36,21 @@
 	Misses   []Miss        `json:"misses,omitempty"`
 	// Cause says why the shard is missing.
 	Cause Cause `json:"cause,omitempty"`
+	// Why says why the shard was not asked again.
+	Why Why `json:"why,omitempty"`
 }
 
+// Why says why a part was not asked again after an attempt failed.
+type Why string
+
+// The reasons.
+const (
+	WhyMayHaveRun Why = "may_have_run"
+	WhySuspect    Why = "suspect_request"
+	WhyNoReplica  Why = "no_replica_left"
+	WhyBudget     Why = "budget_spent"
+)
+
 // SettingRef names the revision that a request ran under.
 type SettingRef struct {
 	Path    string `json:"path"`
--- a/internal/world/link/link.go
+++ b/internal/world/link/link.go
@@ -13,9 +13,6 @@
 	silentFactor = 3
 	// MinSilence bounds the wait from below while latencies are short.
 	MinSilence = 40 * time.Millisecond
-	// unknownSilence is the wait for requests without a goal that have no
-	// samples.
-	unknownSilence = time.Second
 	// IdleLimit is the time after which an unused link is closed.
 	IdleLimit = 30 * time.Second
 )
@@ -48,12 +45,3 @@
 func SilentAfter(p99 time.Duration) time.Duration {
 	return max(silentFactor*p99, MinSilence)
 }
-
-// SilentAfterGoal is SilentAfter for requests with a goal; while there are no
-// samples, the goal itself is the wait.
-func SilentAfterGoal(recent Quantiles, goal time.Duration) time.Duration {
-	if recent.Count == 0 {
-		return max(goal, unknownSilence)
-	}
-	return max(SilentAfter(recent.P99), goal/2)
-}
