Let few entry VMs watch the platform and tell the others

Change: the first VM of each zone that reaches the platform watches; the others follow its copy of the objects through heartbeats and pulls, and watch themselves when no word came for 55% of the time in which a change must be in force, in turns while the platform fails.

--- a/internal/node/entryvm/process.go
+++ b/internal/node/entryvm/process.go
@@ -155,7 +155,7 @@
 		},
 		Seeds:        cg.Peers,
 		Transport:    ps.transport,
-		Views:        ps.Views,
+		Replica:      ps.target(),
 		Confirmation: ps.Confirmation,
 		Quarantine:   ps.Quarantine,
 		PlatformDown: ps.Platform.IsDown,
@@ -237,12 +237,15 @@
 	return nil
 }
 
+func (ps *Process) target() platform.ViewTarget {
+	return platform.ViewTarget{Views: ps.Views, Confirmation: ps.Confirmation, Log: ps.Log}
+}
+
 // run starts the goroutines that keep the process up to date.
 func (ps *Process) run() {
 	ctx, cancel := context.WithCancel(context.Background())
 	ps.cancel = cancel
-	target := platform.ViewTarget{Views: ps.Views, Confirmation: ps.Confirmation, Log: ps.Log}
-	watcher := platform.NewWatcher(ps.Platform, view.Prefixes(), target, platform.Pace{}.Defaults(), ps.Log)
+	watcher := platform.NewWatcher(ps.Platform, view.Prefixes(), ps.target(), platform.Pace{}.Defaults(), ps.Log)
 	for _, task := range []func(context.Context){
 		watcher.Run,
 		ps.Cluster.Run,
--- a/internal/node/forwardvm/config.go
+++ b/internal/node/forwardvm/config.go
@@ -34,6 +34,8 @@
 	MemoryMB int
 	// DrainFor is how long a server that leaves goes on serving.
 	DrainFor time.Duration
+	// ApplyWithin is the time in which a change of the configuration is in force.
+	ApplyWithin time.Duration
 	// StopWithin is the time between the signal to stop and the end.
 	StopWithin time.Duration
 	// KeepFor is how long callers may keep an answer of the directory; at most
@@ -52,6 +54,7 @@
 	// The defaults stand in for bounds that the settings do not give; they are
 	// those of the smallest site.
 	drainFor    = 3 * time.Second
+	applyWithin = 3 * time.Second
 	stopWithin  = 6 * time.Second
 	longestKeep = 5 * time.Second
 	retryWindow = 10 * time.Second
@@ -60,7 +63,7 @@
 // Defaults returns a config with every field that has a default.
 func (Config) Defaults() Config {
 	return Config{
-		DrainFor: drainFor, StopWithin: stopWithin, KeepFor: keepFor, LongestKeep: longestKeep,
+		DrainFor: drainFor, ApplyWithin: applyWithin, StopWithin: stopWithin, KeepFor: keepFor, LongestKeep: longestKeep,
 		Retries:  contract.Allowance{Window: retryWindow},
 		LogLevel: "info",
 	}
--- a/internal/node/forwardvm/process.go
+++ b/internal/node/forwardvm/process.go
@@ -33,14 +33,19 @@
 	tendEvery = 200 * time.Millisecond
 	// slowRound is the number of rounds between two looks at all links.
 	slowRound = 5
-	// serverWatch is how long a watch of the servers waits: changes that it may
-	// have missed are heard within the time that a server drains.
-	serverWatch = 2 * time.Second
-	// tableWatch is the time within which one of the entry VMs asks for the
-	// configuration anew; those that have an older one hear of it from peers.
-	// longestWatch bounds the wait of each.
-	tableWatch   = 600 * time.Millisecond
-	longestWatch = 30 * time.Second
+	// watchWait is the least time that a watch waits, and watchSpread what is
+	// added at random, so that the watchers take turns: one of them soon hears
+	// of a change that another missed.
+	watchWait   = time.Second
+	watchSpread = time.Second
+	// awayFor is how long an entry VM whose call to the platform failed leaves
+	// watching to others.
+	awayFor = 5 * time.Second
+	// patienceShare is the part, in 1/100, of the time in which a change must be
+	// in force that an entry VM waits for word from peers.
+	patienceShare = 55
+	// turnTime is how long one entry VM at a time tries a platform that fails.
+	turnTime = 300 * time.Millisecond
 	// watchPause gathers changes that come close together into one answer.
 	watchPause = 150 * time.Millisecond
 	// holdMargin is kept before the time by which a vanished server must get
@@ -90,8 +95,7 @@
 	Backend      *backend.Client
 	Log          *zap.Logger
 
-	// views tells peers the version in force.
-	views     *rcu.Value[view.View]
+	target    *fleetTarget
 	watcher   *platform.Watcher
 	startedAt time.Time
 	leaving   atomic.Bool
@@ -112,7 +116,6 @@
 		Fleets:       rcu.New(view.Fleet{}),
 		Confirmation: &view.Confirmation{},
 		Log:          log.With(zap.String("entry_vm", cg.Name), zap.String("zone", cg.Zone)),
-		views:        rcu.New(view.View{}),
 		startedAt:    now,
 	}
 	ps.build(now, fe)
@@ -120,7 +123,7 @@
 		ps.close()
 		return nil, nil, err
 	}
-	ps.run(fe)
+	ps.run()
 	events.Started.Log(ps.Log, zap.String("caller_address", cg.CallerAddress))
 	return ps, ps.close, nil
 }
@@ -153,13 +156,16 @@
 	quarantine.SuspectAt, quarantine.BarAt = suspectAt, suspectAt
 	transport := &entry.GRPC{Dial: dial}
 	ps.cleanups = append(ps.cleanups, transport.Close)
+	ps.target = &fleetTarget{process: ps, codec: fe.Objects}
+	ps.watcher = platform.NewWatcher(fe.Store, []string{view.PrefixTable, view.PrefixMembers}, ps.target,
+		platform.Pace{Wait: waitOfWatch, Pause: watchPause}, ps.Log)
 	ps.Cluster = &entry.Cluster{
 		Self: machine.EntryVM{
 			Name: cg.Name, Zone: cg.Zone, CallerAddress: cg.CallerAddress,
 			EntryAddress: cg.EntryAddress, Incarnation: uint64(now.UnixNano()),
 		},
-		Seeds: cg.Peers, Transport: transport, Views: ps.views, Confirmation: ps.Confirmation, Quarantine: quarantine,
-		PlatformDown: func() bool { return false }, Log: ps.Log, Newer: ps.peerIsNewer,
+		Seeds: cg.Peers, Transport: transport, Replica: ps.target, Confirmation: ps.Confirmation, Quarantine: quarantine,
+		PlatformDown: ps.isPlatformAway, Direct: ps.directWord, Follows: ps.follows, Log: ps.Log,
 	}
 	ps.Cluster.Init()
 	ps.Service = &forward.Service{
@@ -219,11 +225,9 @@
 }
 
 // run starts the goroutines that keep the process up to date.
-func (ps *Process) run(fe FrontEnd) {
+func (ps *Process) run() {
 	ctx, cancel := context.WithCancel(context.Background())
 	ps.cancel = cancel
-	ps.watcher = platform.NewWatcher(fe.Store, []string{view.PrefixTable, view.PrefixMembers},
-		&fleetTarget{process: ps, codec: fe.Objects}, platform.Pace{Wait: ps.watchWait, Pause: watchPause}, ps.Log)
 	for _, task := range []func(context.Context){ps.watcher.Run, ps.Cluster.Run, ps.tend} {
 		ps.work.Go(func() { task(ctx) })
 	}
--- a/internal/node/forwardvm/upkeep.go
+++ b/internal/node/forwardvm/upkeep.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 
@@ -29,53 +30,80 @@
 	ps := ft.process
 	hold := min(ps.Config.DrainFor-holdMargin, longestHold)
 	var refused []error
-	before := ps.Fleets.Load().Table
+	before := ps.Fleets.Load()
 	after := ps.Fleets.Update(func(fl view.Fleet) view.Fleet {
 		fl, refused = fl.Apply(now, hold, ft.codec, objects)
 		return fl
-	}).Table
+	})
 	for _, err := range refused {
 		events.BadObject.Log(ps.Log, zap.Error(err))
 	}
-	if after != before {
-		ps.views.Update(func(vw view.View) view.View {
-			vw.Version, vw.Digest = after.Version, uint64(after.Version)
-			return vw
-		})
+	if after.Digest != before.Digest {
 		ps.Cluster.Kick()
-		events.TableInForce.Log(ps.Log, zap.Int64("version", after.Version), zap.Int("routes", len(after.Routes)))
 	}
+	if after.Table != before.Table {
+		events.TableInForce.Log(ps.Log, zap.Int64("version", after.Table.Version), zap.Int("routes", len(after.Table.Routes)))
+	}
+}
+
+// Current is of entry.Replica.
+func (ft *fleetTarget) Current() *view.Copy {
+	return &ft.process.Fleets.Load().Copy
 }
 
 // Known is of platform.Target.
-func (ft *fleetTarget) Known(prefix string, _ int64) []string {
+func (ft *fleetTarget) Known(prefix string, version int64) []string {
 	var keys []string
-	if prefix == view.PrefixMembers {
-		for name := range ft.process.Fleets.Load().Servers {
-			keys = append(keys, prefix+name)
+	for key, ob := range ft.Current().Objects.All() {
+		if strings.HasPrefix(key, prefix) && !ob.Deleted && ob.Version < version {
+			keys = append(keys, key)
 		}
 	}
 	return keys
 }
 
-// Confirm is of platform.Target.
-func (ft *fleetTarget) Confirm(asOf time.Time) {
-	ft.process.Confirmation.Heard(asOf)
+// Confirm is of platform.Target: what the process heard itself is told by
+// directWord.
+func (ft *fleetTarget) Confirm(time.Time) {}
+
+// waitOfWatch is how long a watch waits.
+func waitOfWatch(string) time.Duration {
+	return watchWait + rand.N(watchSpread)
 }
 
-// watchWait is how long a watch of a prefix waits.
-func (ps *Process) watchWait(prefix string) time.Duration {
-	if prefix == view.PrefixMembers {
-		return serverWatch
+// directWord returns when the platform last gave this process its word.
+func (ps *Process) directWord() time.Time {
+	if ps.watcher.IsCurrent() {
+		return time.Now()
 	}
-	// The entry VMs take turns, at random times.
-	spread := time.Duration(ps.liveEntryVMs(time.Now())) * tableWatch
-	return min(max(spread/2+rand.N(spread), serverWatch), longestWatch)
+	return time.Time{}
 }
 
-// peerIsNewer is told of a peer that has a newer configuration in force.
-func (ps *Process) peerIsNewer() {
-	ps.watcher.Refresh(view.PrefixTable)
+// isPlatformAway reports whether the platform does not answer this process.
+func (ps *Process) isPlatformAway() bool {
+	return ps.watcher.FailedWithin(time.Now(), awayFor)
+}
+
+// follows reports whether this process hears of the platform through peers.
+func (ps *Process) follows() bool {
+	return !ps.watcher.IsCurrent()
+}
+
+// mustWatch reports whether this process watches the platform itself: it is one
+// of those that do so for all, or no word came from those for too long. While
+// the platform fails, the entry VMs try it in turns.
+func (ps *Process) mustWatch(now time.Time) bool {
+	members := ps.Cluster.Members(now)
+	isSelf := func(vm machine.EntryVM) bool { return vm.Name == ps.Config.Name }
+	if slices.ContainsFunc(machine.Watchers(now, members), isSelf) {
+		return true
+	}
+	patience := min(ps.Config.ApplyWithin, ps.Config.DrainFor) * patienceShare / 100
+	if now.Sub(ps.Confirmation.AsOf()) <= patience {
+		return false
+	}
+	turn := int(now.UnixNano()/int64(turnTime)) % len(members)
+	return !ps.isPlatformAway() || isSelf(members[turn])
 }
 
 // tend keeps shares, budgets and links up to date until the context ends.
@@ -97,6 +125,7 @@
 	if ps.Fleets.Load().HasLapsed(now) {
 		ps.Fleets.Update(func(fl view.Fleet) view.Fleet { return fl.Lapse(now) })
 	}
+	ps.watcher.SetActive(ps.mustWatch(now))
 	ps.Service.Tend()
 	if !slow {
 		return
--- a/internal/peer/entry/cluster.go
+++ b/internal/peer/entry/cluster.go
@@ -31,6 +31,8 @@
 	leavingSize = 4
 	// exchangeTimeout bounds one heartbeat.
 	exchangeTimeout = 900 * time.Millisecond
+	// roundTime bounds the wait for the answers of one round.
+	roundTime = 300 * time.Millisecond
 	// pullTimeout bounds one pull.
 	pullTimeout = 5 * time.Second
 	// pullOverlap is the span of versions that a pull repeats, since watches
@@ -55,6 +57,14 @@
 	Pull(ctx context.Context, address string, rq *entrypb.PullRequest) (*entrypb.PullReply, error)
 }
 
+// Replica is this process's copy of the platform's objects.
+type Replica interface {
+	// Current returns the copy in force.
+	Current() *view.Copy
+	// Apply takes objects in.
+	Apply(now time.Time, objects []view.Object)
+}
+
 // Member is an entry VM with what its last direct answer said.
 type Member struct {
 	machine.EntryVM
@@ -71,21 +81,29 @@
 
 // Cluster knows the other entry VMs. Set the fields before Run.
 type Cluster struct {
-	Self         machine.EntryVM
-	Seeds        []string
-	Transport    Transport
-	Views        *rcu.Value[view.View]
+	Self      machine.EntryVM
+	Seeds     []string
+	Transport Transport
+	Replica   Replica
+	// Confirmation holds the word of the platform that peers passed on, and,
+	// unless Direct is set, that of this process.
 	Confirmation *view.Confirmation
-	Quarantine   *contract.Quarantine
+	// Direct returns when the platform last gave this process its word; it may
+	// be nil.
+	Direct     func() time.Time
+	Quarantine *contract.Quarantine
 	// PlatformDown reports whether this process's own calls are unanswered.
 	PlatformDown func() bool
 	Log          *zap.Logger
-	// Newer is told when a peer has a newer version in force; it may be nil.
-	Newer func()
+	// Follows reports whether this process hears of the platform through peers,
+	// so that it takes over at once what they have; it may be nil.
+	Follows func() bool
 
 	leaving atomic.Bool
-	members *rcu.Value[members]
-	kick    chan struct{}
+	// following is set while a peer is asked for what it has.
+	following atomic.Bool
+	members   *rcu.Value[members]
+	kick      chan struct{}
 }
 
 // Init readies the cluster. It is called once, before the other methods.
@@ -111,8 +129,8 @@
 // Own returns the record of this process.
 func (cr *Cluster) Own(now time.Time) machine.EntryVM {
 	vm := cr.Self
-	vw := cr.Views.Load()
-	vm.HeardAt, vm.Leaving = now, cr.leaving.Load()
+	vw := cr.Replica.Current()
+	vm.HeardAt, vm.Leaving, vm.PlatformAway = now, cr.leaving.Load(), cr.PlatformDown()
 	vm.Version, vm.Digest = vw.Version, vw.Digest
 	return vm
 }
@@ -161,8 +179,15 @@
 			done <- struct{}{}
 		}()
 	}
+	waited := time.After(roundTime)
 	for range targets {
-		<-done
+		select {
+		case <-done:
+		case <-waited:
+			// A peer that does not answer holds no news up.
+			cr.judgeFrozen(time.Now())
+			return
+		}
 	}
 	cr.judgeFrozen(time.Now())
 }
@@ -180,6 +205,9 @@
 	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 	if len(addresses) > smallCluster {
 		addresses = addresses[:fanOut]
+		if watcher := cr.watcher(now); watcher != "" && !slices.Contains(addresses, watcher) {
+			addresses[0] = watcher
+		}
 	}
 	for _, seed := range cr.Seeds {
 		if !heard[seed] && !slices.Contains(addresses, seed) {
@@ -189,6 +217,18 @@
 	return addresses
 }
 
+// watcher returns the address of an entry VM that watches the platform, of this
+// one's zone if there is one; empty if there is none.
+func (cr *Cluster) watcher(now time.Time) string {
+	address := ""
+	for _, vm := range machine.Watchers(now, cr.Members(now)) {
+		if vm.Name != cr.Self.Name && (address == "" || vm.Zone == cr.Self.Zone) {
+			address = vm.EntryAddress
+		}
+	}
+	return address
+}
+
 func (cr *Cluster) exchange(ctx context.Context, address string) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
@@ -204,13 +244,25 @@
 	cr.answered(ctx, sentAt, address, reply)
 }
 
+// word returns when the platform last gave its word, to this process or a peer.
+func (cr *Cluster) word() time.Time {
+	asOf := cr.Confirmation.AsOf()
+	if cr.Direct == nil {
+		return asOf
+	}
+	if direct := cr.Direct(); direct.After(asOf) {
+		return direct
+	}
+	return asOf
+}
+
 // Heartbeat returns the message of this process.
 func (cr *Cluster) Heartbeat(now time.Time) *entrypb.Heartbeat {
 	own := cr.Own(now)
 	hb := &entrypb.Heartbeat{
 		Sender:       encodeMember(now, own),
-		Confirmed:    cr.Confirmation.IsDirect(now),
-		ConfirmedMs:  ageOf(now, cr.Confirmation.AsOf()),
+		Confirmed:    now.Sub(cr.word()) <= view.ConfirmedFor,
+		ConfirmedMs:  ageOf(now, cr.word()),
 		PlatformDown: cr.PlatformDown(),
 		Version:      own.Version,
 		Digest:       own.Digest,
@@ -249,16 +301,34 @@
 // Handle takes a heartbeat of a peer and returns the answer to it.
 func (cr *Cluster) Handle(now time.Time, hb *entrypb.Heartbeat) *entrypb.Heartbeat {
 	cr.take(now, hb)
+	cr.followSender(now, hb)
 	return cr.Heartbeat(now)
 }
 
+// followSender asks a peer that has something newer for it.
+func (cr *Cluster) followSender(now time.Time, hb *entrypb.Heartbeat) {
+	cp := cr.Replica.Current()
+	if !cr.follows() || hb.Digest == cp.Digest || cp.Had(hb.Version, hb.Digest) {
+		return
+	}
+	address := decodeMember(now, hb.Sender).EntryAddress
+	if address == "" || !cr.following.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer cr.following.Store(false)
+		cr.exchange(context.Background(), address)
+	}()
+}
+
+func (cr *Cluster) follows() bool {
+	return cr.Follows != nil && cr.Follows()
+}
+
 // take takes in members and quarantines, as of a time.
 func (cr *Cluster) take(now time.Time, hb *entrypb.Heartbeat) {
 	sender := decodeMember(now, hb.Sender)
-	sender.Version, sender.Digest = hb.Version, hb.Digest
-	if cr.Newer != nil && hb.Version > cr.Views.Load().Version {
-		cr.Newer()
-	}
+	sender.Version, sender.Digest, sender.PlatformAway = hb.Version, hb.Digest, hb.PlatformDown
 	told := []machine.EntryVM{sender}
 	for _, mb := range hb.Members {
 		told = append(told, decodeMember(now, mb))
@@ -275,10 +345,14 @@
 	known := *cr.members.Load()
 	return slices.ContainsFunc(told, func(vm machine.EntryVM) bool {
 		have, ok := known[vm.Name]
+		if vm.Name != told[0].Name {
+			vm.PlatformAway = have.PlatformAway
+		}
 		return vm.Name != cr.Self.Name && (!ok || have.EntryVM != have.Newer(vm))
 	})
 }
 
+// merge takes in records; the first is of the VM that told of the others.
 func (cr *Cluster) merge(now time.Time, old members, told []machine.EntryVM) members {
 	next := maps.Clone(old)
 	for _, vm := range told {
@@ -296,7 +370,12 @@
 		if mb.Incarnation != vm.Incarnation && vm.Incarnation > mb.Incarnation {
 			mb = Member{EntryVM: vm}
 		}
+		away := mb.PlatformAway
 		mb.EntryVM = mb.Newer(vm)
+		if vm.Name != told[0].Name {
+			// Only a VM itself tells whether it reaches the platform.
+			mb.PlatformAway = away
+		}
 		next[vm.Name] = mb
 	}
 	return next
--- a/internal/peer/entry/cluster_test.go
+++ b/internal/peer/entry/cluster_test.go
@@ -15,6 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	"daisystage.example/daisystage/internal/container/rcu"
+	"daisystage.example/daisystage/internal/peer/platform"
 	"daisystage.example/daisystage/internal/wire/entrypb"
 	"daisystage.example/daisystage/internal/world/contract"
 	"daisystage.example/daisystage/internal/world/machine"
@@ -92,7 +93,7 @@
 				Name: fmt.Sprintf("entry-%03d", at), Zone: fmt.Sprintf("zone-%d", at%3), CallerAddress: "10.0.0.1:8401",
 				OperatorAddress: "10.0.0.1:8402", EntryAddress: seeds[at], Incarnation: uint64(at + 1),
 			},
-			Seeds: seeds[:min(count, 9)], Transport: mm, Views: rcu.New(view.View{}), Confirmation: &view.Confirmation{},
+			Seeds: seeds[:min(count, 9)], Transport: mm, Replica: platform.ViewTarget{Views: rcu.New(view.View{}), Confirmation: &view.Confirmation{}, Log: zap.NewNop()}, Confirmation: &view.Confirmation{},
 			Quarantine: contract.NewQuarantine(), PlatformDown: func() bool { return false }, Log: zap.NewNop(),
 		}
 		cr.Init()
@@ -146,7 +147,7 @@
 }
 
 func apply(cr *Cluster, ob view.Object) {
-	cr.Views.Update(func(vw view.View) view.View {
+	cr.Replica.(platform.ViewTarget).Views.Update(func(vw view.View) view.View {
 		next, err := vw.Apply(ob)
 		if err != nil {
 			panic(err)
@@ -156,7 +157,7 @@
 }
 
 func versionOf(cr *Cluster) int64 {
-	st, ok := cr.Views.Load().Settings.Get("teams/gaisma/routes/find")
+	st, ok := cr.Replica.(platform.ViewTarget).Views.Load().Settings.Get("teams/gaisma/routes/find")
 	if !ok {
 		return 0
 	}
--- a/internal/peer/entry/sync.go
+++ b/internal/peer/entry/sync.go
@@ -8,7 +8,6 @@
 	"go.uber.org/zap"
 
 	"daisystage.example/daisystage/internal/node/events"
-	"daisystage.example/daisystage/internal/peer/platform"
 	"daisystage.example/daisystage/internal/wire/entrypb"
 	"daisystage.example/daisystage/internal/world/view"
 )
@@ -16,7 +15,7 @@
 // answered takes in the answer of a peer to a heartbeat sent at a time. The
 // answer was made after that, so what it says counts from sentAt.
 func (cr *Cluster) answered(ctx context.Context, sentAt time.Time, address string, reply *entrypb.Heartbeat) {
-	vw := cr.Views.Load()
+	vw := cr.Replica.Current()
 	same := reply.Digest == vw.Digest
 	behind := vw.Had(reply.Version, reply.Digest)
 	if !same && !behind && cr.mustPull(sentAt, reply) {
@@ -45,14 +44,14 @@
 // being a moment behind.
 func (cr *Cluster) mustPull(now time.Time, reply *entrypb.Heartbeat) bool {
 	mb := (*cr.members.Load())[reply.Sender.Name]
-	return mb.Mismatches > 0 || now.Sub(cr.Confirmation.AsOf()) > watchLag
+	return cr.follows() || mb.Mismatches > 0 || now.Sub(cr.Confirmation.AsOf()) > watchLag
 }
 
 // pull takes the objects that a peer has and this process lacks, and reports
 // whether the views are the same then.
 func (cr *Cluster) pull(ctx context.Context, address string, reply *entrypb.Heartbeat) bool {
 	mb := (*cr.members.Load())[reply.Sender.Name]
-	after := cr.Views.Load().Version
+	after := cr.Replica.Current().Version
 	switch {
 	case mb.Mismatches >= fullPullAfter:
 		after = 0
@@ -66,37 +65,31 @@
 		events.PeerFailed.Log(cr.Log, zap.String("address", address), zap.Error(err))
 		return false
 	}
-	before := cr.Views.Load().Digest
-	platform.Apply(cr.Views, cr.Log, newerOf(cr.Views.Load(), pulled.Objects))
-	digest := cr.Views.Load().Digest
+	before := cr.Replica.Current().Digest
+	cr.Replica.Apply(time.Now(), cr.Replica.Current().Newer(decodeObjects(pulled.Objects)))
+	digest := cr.Replica.Current().Digest
 	if digest != before {
 		events.PeerPulled.Log(cr.Log, zap.String("peer", reply.Sender.Name), zap.Int64("version", pulled.Version))
 	}
 	return digest == reply.Digest
 }
 
-// newerOf returns the objects that are newer than those of the view.
-func newerOf(vw *view.View, pulled []*entrypb.Object) []view.Object {
-	var newer []view.Object
-	for _, ob := range pulled {
-		have, ok := vw.Objects.Get(ob.Key)
-		if !ok || ob.Version > have.Version {
-			newer = append(newer, view.Object{Key: ob.Key, Version: ob.Version, Value: ob.Value, Deleted: ob.Deleted})
-		}
+func decodeObjects(pulled []*entrypb.Object) []view.Object {
+	objects := make([]view.Object, len(pulled))
+	for i, ob := range pulled {
+		objects[i] = view.Object{Key: ob.Key, Version: ob.Version, Value: ob.Value, Deleted: ob.Deleted}
 	}
-	return newer
+	return objects
 }
 
 // HandlePull returns the objects that a peer asks for.
 func (cr *Cluster) HandlePull(rq *entrypb.PullRequest) *entrypb.PullReply {
-	vw := cr.Views.Load()
-	reply := &entrypb.PullReply{Version: vw.Version}
-	for _, ob := range vw.Objects.All() {
-		if ob.Version > rq.After {
-			reply.Objects = append(reply.Objects, &entrypb.Object{
-				Key: ob.Key, Version: ob.Version, Value: ob.Value, Deleted: ob.Deleted,
-			})
-		}
+	cp := cr.Replica.Current()
+	reply := &entrypb.PullReply{Version: cp.Version}
+	for _, ob := range cp.After(rq.After) {
+		reply.Objects = append(reply.Objects, &entrypb.Object{
+			Key: ob.Key, Version: ob.Version, Value: ob.Value, Deleted: ob.Deleted,
+		})
 	}
 	return reply
 }
@@ -107,7 +100,7 @@
 	if !cr.PlatformDown() {
 		return
 	}
-	vw := cr.Views.Load()
+	vw := cr.Replica.Current()
 	if vw.Version == 0 {
 		return
 	}
--- a/internal/peer/platform/watcher.go
+++ b/internal/peer/platform/watcher.go
@@ -77,6 +77,13 @@
 	back chan struct{}
 	// refresh tells the watch of a prefix to list it anew.
 	refresh map[string]chan struct{}
+	// active is closed while the watcher calls; it is replaced when it stops.
+	active chan struct{}
+	// listed holds the prefixes that were listed since the watcher began to
+	// call.
+	listed map[string]bool
+	// failedAt is when a call last failed.
+	failedAt time.Time
 }
 
 // NewWatcher returns a watcher that is ready to run.
@@ -84,13 +91,70 @@
 	wt := &Watcher{
 		Store: store, Prefixes: prefixes, Target: target, Pace: pace, Log: log,
 		heard: map[string]time.Time{}, slow: map[string]bool{}, refresh: map[string]chan struct{}{},
+		active: make(chan struct{}), listed: map[string]bool{},
 	}
+	close(wt.active)
 	for _, prefix := range prefixes {
 		wt.refresh[prefix] = make(chan struct{}, 1)
 	}
 	return wt
 }
 
+// SetActive makes the watcher call, or stop calling; it begins by listing all.
+func (wt *Watcher) SetActive(active bool) {
+	wt.lock.Lock()
+	defer wt.lock.Unlock()
+	if active == wt.isActive() {
+		return
+	}
+	if active {
+		close(wt.active)
+		return
+	}
+	wt.active = make(chan struct{})
+	wt.listed = map[string]bool{}
+	for _, prefix := range wt.Prefixes {
+		wt.Refresh(prefix)
+	}
+}
+
+// isActive reports whether the watcher calls. The lock is held.
+func (wt *Watcher) isActive() bool {
+	select {
+	case <-wt.active:
+		return true
+	default:
+		return false
+	}
+}
+
+// waitActive waits until the watcher may call, and reports whether it had to.
+func (wt *Watcher) waitActive(ctx context.Context) bool {
+	wt.lock.Lock()
+	active, waited := wt.active, !wt.isActive()
+	wt.lock.Unlock()
+	select {
+	case <-active:
+	case <-ctx.Done():
+	}
+	return waited
+}
+
+// IsCurrent reports whether all prefixes are listed and watched.
+func (wt *Watcher) IsCurrent() bool {
+	wt.lock.Lock()
+	defer wt.lock.Unlock()
+	return wt.isActive() && wt.back == nil && len(wt.listed) == len(wt.Prefixes)
+}
+
+// FailedWithin reports whether a call failed a short while ago, and none was
+// answered since.
+func (wt *Watcher) FailedWithin(now time.Time, span time.Duration) bool {
+	wt.lock.Lock()
+	defer wt.lock.Unlock()
+	return now.Sub(wt.failedAt) <= span
+}
+
 // Refresh lists a prefix anew, in place of the watch that waits. It does not
 // block.
 func (wt *Watcher) Refresh(prefix string) {
@@ -112,6 +176,11 @@
 	Apply(vt.Views, vt.Log, objects)
 }
 
+// Current is of entry.Replica.
+func (vt ViewTarget) Current() *view.Copy {
+	return &vt.Views.Load().Copy
+}
+
 // Known is of Target.
 func (vt ViewTarget) Known(prefix string, version int64) []string {
 	var keys []string
@@ -166,6 +235,10 @@
 	from := int64(-1)
 	backoff := firstBackoff
 	for ctx.Err() == nil {
+		if wt.waitActive(ctx) {
+			from, backoff = -1, firstBackoff
+			continue
+		}
 		next, refreshed, err := wt.stepOrRefresh(ctx, prefix, from)
 		if refreshed {
 			from = -1
@@ -230,6 +303,7 @@
 func (wt *Watcher) failed() <-chan struct{} {
 	wt.lock.Lock()
 	defer wt.lock.Unlock()
+	wt.failedAt = time.Now()
 	if wt.back == nil {
 		wt.back = make(chan struct{})
 	}
@@ -240,6 +314,7 @@
 func (wt *Watcher) answered() {
 	wt.lock.Lock()
 	defer wt.lock.Unlock()
+	wt.failedAt = time.Time{}
 	if wt.back != nil {
 		close(wt.back)
 		wt.back = nil
@@ -309,6 +384,7 @@
 	wt.lock.Lock()
 	defer wt.lock.Unlock()
 	wt.heard[prefix] = asOf
+	wt.listed[prefix] = true
 	oldest := asOf
 	for _, name := range wt.Prefixes {
 		at, ok := wt.heard[name]
--- a/internal/world/machine/entryvm.go
+++ b/internal/world/machine/entryvm.go
@@ -27,6 +27,8 @@
 	Incarnation uint64 `json:"incarnation"`
 	// Leaving never returns to false within an incarnation.
 	Leaving bool `json:"leaving"`
+	// PlatformAway is set while the platform does not answer the VM's calls.
+	PlatformAway bool `json:"platform_away"`
 	// HeardAt is when the VM last spoke, to this process or to a peer that
 	// told of it.
 	HeardAt time.Time `json:"heard_at"`
--- a/internal/world/view/fleet.go
+++ b/internal/world/view/fleet.go
@@ -14,6 +14,7 @@
 // Fleet is the configuration in force and the servers that registered. It is
 // not changed once published. The zero value is empty and ready.
 type Fleet struct {
+	Copy
 	// Table is nil until one is known. Its version never falls.
 	Table *contract.Table
 	// Servers holds each server by name.
@@ -162,7 +163,6 @@
 		next, err := fl.apply(now, hold, codec, ob)
 		if err != nil {
 			refused = append(refused, fmt.Errorf("object %s: %w", ob.Key, err))
-			continue
 		}
 		fl = next
 	}
@@ -170,6 +170,11 @@
 }
 
 func (fl Fleet) apply(now time.Time, hold time.Duration, codec FleetCodec, ob Object) (Fleet, error) {
+	cp, changed, err := fl.Copy.With(ob)
+	if err != nil || !changed {
+		return fl, err
+	}
+	fl.Copy = cp
 	name, isServer := strings.CutPrefix(ob.Key, PrefixMembers)
 	switch {
 	case isServer && ob.Deleted:
--- a/internal/world/view/view.go
+++ b/internal/world/view/view.go
@@ -4,16 +4,11 @@
 
 import (
 	"crypto/sha256"
-	"encoding/binary"
 	"encoding/hex"
 	"encoding/json"
-	"errors"
 	"fmt"
-	"slices"
 	"strings"
 
-	"github.com/cespare/xxhash/v2"
-
 	"daisystage.example/daisystage/internal/container/cowmap"
 	"daisystage.example/daisystage/internal/world/contract"
 	"daisystage.example/daisystage/internal/world/machine"
@@ -61,67 +56,28 @@
 	return PrefixTokens + hex.EncodeToString(sum[:])
 }
 
-// trailLength is the number of versions whose digests a view remembers.
-const trailLength = 32
-
-// Mark is the digest of a view at a version.
-type Mark struct {
-	Version int64
-	Digest  uint64
-}
-
-// Had reports whether this view had a digest at a version; false too when that
-// is too long ago.
-func (vw *View) Had(version int64, digest uint64) bool {
-	return slices.Contains(vw.Trail[:], Mark{Version: version, Digest: digest})
-}
-
 // View is an immutable state. Requests keep the one that they began with.
 type View struct {
-	// Version is the highest version of any object in the view.
-	Version int64
-	// Digest is the xor of a hash of each key and version, so that equal views
-	// have equal digests whatever the order of the changes.
-	Digest uint64
-	// Changes counts the objects taken in.
-	Changes int64
-	// Trail holds the digests at the newest versions, in no order, so that a
-	// peer that is merely behind can be told from one that differs.
-	Trail [trailLength]Mark
-	// Objects holds all objects, and the marks of deleted ones.
-	Objects     cowmap.Map[Object]
+	Copy
 	Settings    cowmap.Map[*contract.Setting]
 	Servers     cowmap.Map[*machine.Server]
 	Collections cowmap.Map[*snapshot.Collection]
 	Tokens      cowmap.Map[Token]
 }
 
-// ErrOlder says that an object is older than the one in the view.
-var ErrOlder = errors.New("older than the version in force")
-
 // Apply returns the view with an object taken in. Objects of the version in
 // force change nothing; older ones give ErrOlder; objects that can't be read
 // leave what is in force as it is.
 func (vw View) Apply(ob Object) (View, error) {
-	have, known := vw.Objects.Get(ob.Key)
-	if known && ob.Version == have.Version {
-		return vw, nil
-	}
-	if known && ob.Version < have.Version {
-		return vw, fmt.Errorf("object %s at version %d, have %d: %w", ob.Key, ob.Version, have.Version, ErrOlder)
+	cp, changed, err := vw.Copy.With(ob)
+	if err != nil || !changed {
+		return vw, err
 	}
 	next, err := vw.applyByPrefix(ob)
 	if err != nil {
 		next = vw
 	}
-	next.Objects = next.Objects.With(ob.Key, ob)
-	next.Version = max(next.Version, ob.Version)
-	next.Digest ^= objectHash(ob.Key, ob.Version)
-	if known {
-		next.Digest ^= objectHash(have.Key, have.Version)
-	}
-	next.Trail[next.Changes%trailLength] = Mark{Version: next.Version, Digest: next.Digest}
-	next.Changes++
+	next.Copy = cp
 	return next, err
 }
 
@@ -223,12 +179,3 @@
 	}
 	return contract.Limits{}.Defaults()
 }
-
-func objectHash(key string, version int64) uint64 {
-	var buffer [8]byte
-	binary.BigEndian.PutUint64(buffer[:], uint64(version))
-	dg := xxhash.New()
-	_, _ = dg.WriteString(key)
-	_, _ = dg.Write(buffer[:])
-	return dg.Sum64()
-}
