--- a/internal/query/scatter/gather.go
+++ b/internal/query/scatter/gather.go
@@ -307,16 +307,18 @@
 
 // mayAskAgain reports whether the server of an attempt may get another one.
 func (ga *gather[R, H, M, A]) mayAskAgain(pt *partState[A], cause contract.Cause) bool {
-	if len(pt.tried)+len(pt.again) >= ga.mostSends(pt.shard) {
-		return false
-	}
+	most := ga.mostSends(pt.shard)
 	switch cause {
 	case contract.CauseLinkSilent:
-		return true
 	case contract.CauseShed, contract.CauseLinkReset, contract.CauseMismatched:
-		return ga.job.Terms.TryAgain
+		if !ga.job.Terms.TryAgain {
+			return false
+		}
+		most -= silentRetries
+	default:
+		return false
 	}
-	return false
+	return len(pt.tried)+len(pt.again) < most
 }
 
 // accept takes the first valid answer of a part and cancels its other attempts.
