--- a/internal/node/forwardvm/process.go
+++ b/internal/node/forwardvm/process.go
@@ -87,6 +87,7 @@
 
 // Process is the process of one entry VM. Make one with Start.
 type Process struct {
+	// Config is as at the start; what a reload changes is in settings.
 	Config       Config
 	Service      *forward.Service
 	Cluster      *entry.Cluster
@@ -95,8 +96,10 @@
 	Backend      *backend.Client
 	Log          *zap.Logger
 
-	target    *fleetTarget
-	watcher   *platform.Watcher
+	target  *fleetTarget
+	watcher *platform.Watcher
+	// settings are those in force.
+	settings  *rcu.Value[Config]
 	startedAt time.Time
 	leaving   atomic.Bool
 	servers   []*http.Server
@@ -113,6 +116,7 @@
 func Start(now time.Time, cg Config, fe FrontEnd, log *zap.Logger) (*Process, func(), error) {
 	ps := &Process{
 		Config:       cg,
+		settings:     rcu.New(cg),
 		Fleets:       rcu.New(view.Fleet{}),
 		Confirmation: &view.Confirmation{},
 		Log:          log.With(zap.String("entry_vm", cg.Name), zap.String("zone", cg.Zone)),
@@ -264,6 +268,22 @@
 	return ps.leaving.Load()
 }
 
+// Reload takes new settings in, or logs why they can't be. Names and addresses
+// stay as they were at the start.
+func (ps *Process) Reload(cg Config, err error) {
+	if err != nil {
+		events.NoReload.Log(ps.Log, zap.Error(err))
+		return
+	}
+	ps.settings.Update(func(old Config) Config {
+		old.Peers, old.Retries, old.KeepFor, old.LongestKeep = cg.Peers, cg.Retries, cg.KeepFor, cg.LongestKeep
+		old.DrainFor, old.ApplyWithin, old.StopWithin = cg.DrainFor, cg.ApplyWithin, cg.StopWithin
+		return old
+	})
+	events.Reloaded.Log(ps.Log, zap.Duration("stop_within", cg.StopWithin), zap.Duration("drain_for", cg.DrainFor),
+		zap.Float64("retry_ratio", cg.Retries.Ratio), zap.Float64("retry_slack", cg.Retries.Slack))
+}
+
 // Offer returns the addresses that a caller in a zone may use, and how long it
 // may keep them.
 func (ps *Process) Offer(now time.Time, _, from string) ([]string, time.Duration) {
@@ -272,14 +292,15 @@
 	for i, vm := range offered {
 		addresses[i] = vm.CallerAddress
 	}
-	return addresses, min(ps.Config.KeepFor, ps.Config.LongestKeep)
+	cg := ps.settings.Load()
+	return addresses, min(cg.KeepFor, cg.LongestKeep)
 }
 
 // Stop ends the process without cutting a request: it is no longer offered or
 // ready, and serves on those who kept an older answer; then it accepts no more,
 // and ends when the last request did, in any case in time.
 func (ps *Process) Stop(now time.Time) {
-	end := now.Add(ps.Config.StopWithin)
+	end := now.Add(ps.settings.Load().StopWithin)
 	events.Leaving.Log(ps.Log)
 	ps.leaving.Store(true)
 	ps.Cluster.Leave()
--- a/internal/node/forwardvm/upkeep.go
+++ b/internal/node/forwardvm/upkeep.go
@@ -28,7 +28,7 @@
 		return
 	}
 	ps := ft.process
-	hold := min(ps.Config.DrainFor-holdMargin, longestHold)
+	hold := min(ps.settings.Load().DrainFor-holdMargin, longestHold)
 	var refused []error
 	before := ps.Fleets.Load()
 	after := ps.Fleets.Update(func(fl view.Fleet) view.Fleet {
@@ -98,7 +98,7 @@
 	if slices.ContainsFunc(machine.Watchers(now, members), isSelf) {
 		return true
 	}
-	patience := min(ps.Config.ApplyWithin, ps.Config.DrainFor) * patienceShare / 100
+	patience := min(ps.settings.Load().ApplyWithin, ps.settings.Load().DrainFor) * patienceShare / 100
 	if now.Sub(ps.Confirmation.AsOf()) <= patience {
 		return false
 	}
@@ -132,7 +132,7 @@
 	}
 	live := ps.liveEntryVMs(now)
 	ps.Backend.SetEntryVMs(live)
-	ps.Service.Budgets.SetShare(ps.Config.Retries, live)
+	ps.Service.Budgets.SetShare(ps.settings.Load().Retries, live)
 	ps.Backend.Forget(func(name, address string) bool {
 		sv := ps.Fleets.Load().Servers[name]
 		return sv != nil && sv.Address == address
@@ -171,7 +171,7 @@
 			count++
 		}
 	}
-	return max(count, len(ps.Config.Peers))
+	return max(count, len(ps.settings.Load().Peers))
 }
 
 // observer logs the calls that did not go as usual.
--- a/internal/query/forward/forward.go
+++ b/internal/query/forward/forward.go
@@ -317,7 +317,9 @@
 	})
 }
 
-// IsReady reports whether calls can be answered.
+// IsReady reports whether calls can be answered: the configuration and servers
+// are known.
 func (sv *Service) IsReady() bool {
-	return sv.Fleets.Load().Table != nil
+	fl := sv.Fleets.Load()
+	return fl.Table != nil && len(fl.Servers) > 0
 }
