Send callers to the largest entry VMs that carry a zone's load

Cause: once grown, 67 small VMs each carry 2 requests a second: cold links, one connection a server, nothing learned of who rejects. Change: entry VMs tell capacity and load; a zone's callers go to its largest ones, with room for four times the load and three at least; connections and slack of the budget go with them.

--- a/internal/node/forwardvm/config.go
+++ b/internal/node/forwardvm/config.go
@@ -32,6 +32,9 @@
 	// Cores is the processor time of this VM in cores.
 	Cores    float64
 	MemoryMB int
+	// LinkMbps is the speed of this VM's link in megabits a second; 0 if it is
+	// not known.
+	LinkMbps float64
 	// DrainFor is how long a server that leaves goes on serving.
 	DrainFor time.Duration
 	// ApplyWithin is the time in which a change of the configuration is in force.
--- a/internal/node/forwardvm/process.go
+++ b/internal/node/forwardvm/process.go
@@ -102,8 +102,12 @@
 	settings  *rcu.Value[Config]
 	startedAt time.Time
 	leaving   atomic.Bool
-	servers   []*http.Server
-	grpc      *grpc.Server
+	// load is the smoothed number of parts a second that this process sends.
+	load atomic.Uint32
+	// carries is set while callers are sent here.
+	carries atomic.Bool
+	servers []*http.Server
+	grpc    *grpc.Server
 	// cancel ends the goroutines in work.
 	cancel   context.CancelFunc
 	work     sync.WaitGroup
@@ -167,7 +171,9 @@
 		Self: machine.EntryVM{
 			Name: cg.Name, Zone: cg.Zone, CallerAddress: cg.CallerAddress,
 			EntryAddress: cg.EntryAddress, Incarnation: uint64(now.UnixNano()),
+			Capacity: machine.CapacityOf(cg.Cores, cg.LinkMbps),
 		},
+		Load:  ps.load.Load,
 		Seeds: cg.Peers, Transport: transport, Replica: ps.target, Confirmation: ps.Confirmation, Quarantine: quarantine,
 		PlatformDown: ps.isPlatformAway, Direct: ps.directWord, Follows: ps.follows, Log: ps.Log,
 	}
--- a/internal/node/forwardvm/upkeep.go
+++ b/internal/node/forwardvm/upkeep.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -10,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"daisystage.example/daisystage/internal/node/events"
+	"daisystage.example/daisystage/internal/peer/backend"
 	"daisystage.example/daisystage/internal/query/forward"
 	"daisystage.example/daisystage/internal/world/contract"
 	"daisystage.example/daisystage/internal/world/machine"
@@ -130,15 +132,55 @@
 	if !slow {
 		return
 	}
-	live := ps.liveEntryVMs(now)
-	ps.Backend.SetEntryVMs(live)
-	ps.Service.Budgets.SetShare(ps.settings.Load().Retries, live)
+	ps.load.Store(smoothed(ps.load.Load(), ps.Service.Parts.Swap(0)))
+	ps.share(now)
 	ps.Backend.Forget(func(name, address string) bool {
 		sv := ps.Fleets.Load().Servers[name]
 		return sv != nil && sv.Address == address
 	})
 }
 
+// loadWeight is the weight of the newest second in the smoothed load, in 1/100.
+const loadWeight = 40
+
+// smoothed takes the parts of a second into the load. Rises count at once, so
+// that callers find room.
+func smoothed(load uint32, parts int64) uint32 {
+	newest := uint32(min(parts, math.MaxUint32))
+	if newest > load {
+		return newest
+	}
+	return load - (load-newest)*loadWeight/100
+}
+
+// strayShare is the part, in 1/100, of the servers' connections that is left to
+// entry VMs which carry no callers by now.
+const strayShare = 25
+
+// share divides connections and extra sends among the entry VMs: nearly all go
+// to those that carry callers.
+func (ps *Process) share(now time.Time) {
+	members := ps.Cluster.Members(now)
+	live := ps.liveEntryVMs(now)
+	carriers := machine.Carriers(now, members)
+	carries := carriers[ps.Config.Name] || len(carriers) == 0
+	ps.carries.Store(carries)
+	retries := ps.settings.Load().Retries
+	switch {
+	case len(carriers) == 0 || len(carriers) >= live:
+		ps.Backend.SetShare(backend.Share{EntryVMs: live})
+		ps.Service.Budgets.SetShare(retries, live)
+	case carries:
+		ps.Backend.SetShare(backend.Share{EntryVMs: len(carriers), Kept: strayShare})
+		ps.Service.Budgets.SetShare(retries, len(carriers))
+	default:
+		ps.Backend.SetShare(backend.Share{EntryVMs: live, Kept: 100 - strayShare})
+		// The slack is with those that carry callers.
+		retries.Slack = 0
+		ps.Service.Budgets.SetShare(retries, 1)
+	}
+}
+
 // wideShare is the number of connections of one entry VM to a server from which
 // links are opened before there is traffic.
 const wideShare = 2
@@ -147,15 +189,14 @@
 // services in use, and of all that routes name where connections are plenty.
 func (ps *Process) worthWarming(now time.Time) []*machine.Server {
 	fl := ps.Fleets.Load()
-	if fl.Table == nil || ps.leaving.Load() {
+	if fl.Table == nil || ps.leaving.Load() || !ps.carries.Load() {
 		return nil
 	}
-	entryVMs := ps.liveEntryVMs(now)
 	var servers []*machine.Server
 	for _, name := range fl.Table.Targets() {
 		inUse := ps.Service.Budgets.InUse(now, name)
 		for _, sv := range fl.Live(name) {
-			if inUse || sv.ConnectionShare(entryVMs, 0) >= wideShare {
+			if inUse || ps.Backend.ShareOf(sv) >= wideShare {
 				servers = append(servers, sv)
 			}
 		}
--- a/internal/peer/backend/client.go
+++ b/internal/peer/backend/client.go
@@ -61,8 +61,8 @@
 // Client sends parts to servers. Make one with New.
 type Client struct {
 	dial DialFunc
-	// entryVMs is the number of entry VMs that share the servers.
-	entryVMs atomic.Int64
+	// share is never nil.
+	share atomic.Pointer[Share]
 	// pools maps a poolKey to its *pool.
 	pools sync.Map
 	// silent holds the servers whose links went silent within massWindow.
@@ -74,7 +74,7 @@
 // New returns a client and a function that closes its links.
 func New(dial DialFunc) (*Client, func()) {
 	cl := &Client{dial: dial, silent: rcu.New([]silence{})}
-	cl.entryVMs.Store(1)
+	cl.share.Store(&Share{EntryVMs: 1})
 	return cl, cl.close
 }
 
@@ -85,19 +85,36 @@
 	})
 }
 
-// SetEntryVMs sets the number of entry VMs among which the servers' connection
-// limits are shared out.
+// Share is the part of the servers' connection limits that this process may
+// use.
+type Share struct {
+	// EntryVMs is the number of entry VMs that the connections are divided
+	// among; at least 1.
+	EntryVMs int
+	// Kept is the part of the connections, in 1/100, that is left to others.
+	Kept int
+}
+
+// SetEntryVMs divides the servers' connections evenly.
 func (cl *Client) SetEntryVMs(count int) {
-	cl.entryVMs.Store(int64(max(count, 1)))
+	cl.SetShare(Share{EntryVMs: count})
+}
+
+// SetShare sets the part of the connections that this process may use.
+func (cl *Client) SetShare(sh Share) {
+	sh.EntryVMs = max(sh.EntryVMs, 1)
+	cl.share.Store(&sh)
 	cl.pools.Range(func(_, value any) bool {
 		pl := value.(*pool)
-		pl.share.Store(cl.shareOf(pl.server))
+		pl.share.Store(cl.ShareOf(pl.server))
 		return true
 	})
 }
 
-func (cl *Client) shareOf(sv *machine.Server) int64 {
-	return int64(sv.ConnectionShare(int(cl.entryVMs.Load()), spareVMs))
+// ShareOf returns how many connections to a server this process may have.
+func (cl *Client) ShareOf(sv *machine.Server) int64 {
+	sh := cl.share.Load()
+	return int64(sv.ConnectionShare(sh.EntryVMs, spareVMs, sh.Kept))
 }
 
 func (cl *Client) pool(sv *machine.Server) *pool {
@@ -106,7 +123,7 @@
 		return value.(*pool)
 	}
 	fresh := newPool(cl.dial, sv)
-	fresh.share.Store(cl.shareOf(sv))
+	fresh.share.Store(cl.ShareOf(sv))
 	value, _ := cl.pools.LoadOrStore(key, fresh)
 	return value.(*pool)
 }
--- a/internal/peer/entry/cluster.go
+++ b/internal/peer/entry/cluster.go
@@ -95,6 +95,8 @@
 	// PlatformDown reports whether this process's own calls are unanswered.
 	PlatformDown func() bool
 	Log          *zap.Logger
+	// Load returns the parts a second that this process sends; it may be nil.
+	Load func() uint32
 	// Follows reports whether this process hears of the platform through peers,
 	// so that it takes over at once what they have; it may be nil.
 	Follows func() bool
@@ -132,6 +134,9 @@
 	vw := cr.Replica.Current()
 	vm.HeardAt, vm.Leaving, vm.PlatformAway = now, cr.leaving.Load(), cr.PlatformDown()
 	vm.Version, vm.Digest = vw.Version, vw.Digest
+	if cr.Load != nil {
+		vm.Load = cr.Load()
+	}
 	return vm
 }
 
@@ -415,6 +420,7 @@
 	return &entrypb.Member{
 		Name: vm.Name, Zone: vm.Zone, CallerAddress: vm.CallerAddress, OperatorAddress: vm.OperatorAddress,
 		EntryAddress: vm.EntryAddress, Incarnation: vm.Incarnation, Leaving: vm.Leaving, HeardMs: ageOf(now, vm.HeardAt),
+		Capacity: vm.Capacity, Load: vm.Load,
 	}
 }
 
@@ -422,6 +428,7 @@
 	return machine.EntryVM{
 		Name: mb.GetName(), Zone: mb.GetZone(), CallerAddress: mb.GetCallerAddress(), OperatorAddress: mb.GetOperatorAddress(),
 		EntryAddress: mb.GetEntryAddress(), Incarnation: mb.GetIncarnation(), Leaving: mb.GetLeaving(),
-		HeardAt: now.Add(-time.Duration(mb.GetHeardMs()) * time.Millisecond),
+		HeardAt:  now.Add(-time.Duration(mb.GetHeardMs()) * time.Millisecond),
+		Capacity: mb.GetCapacity(), Load: mb.GetLoad(),
 	}
 }
--- a/internal/query/forward/forward.go
+++ b/internal/query/forward/forward.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/url"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"daisystage.example/daisystage/internal/container/rcu"
@@ -110,6 +111,8 @@
 	Engine       Runner
 	Budgets      *Budgets
 	Observer     Observer
+	// Parts counts the attempts sent; the owner resets it.
+	Parts atomic.Int64
 
 	// routes maps names of routes to their *routeState.
 	routes sync.Map
@@ -228,7 +231,7 @@
 	service := rn.state.splitter.Pick(rn.route.Services)
 	jb := sv.job(now, rn, print, []string{service})
 	rs := sv.Engine.Run(ctx, jb)
-	rn.took(rs)
+	sv.took(rn, rs)
 	part := &rs.Parts[0]
 	switch {
 	case part.Answered || part.Failed:
@@ -247,7 +250,7 @@
 		jb.EnoughAt = now.Add(goal - min(goalMargin, goal*goalShare/100))
 	}
 	rs := sv.Engine.Run(ctx, jb)
-	rn.took(rs)
+	sv.took(rn, rs)
 	reply := &Reply{Coverage: contract.Coverage{Total: len(rs.Parts), Missing: []string{}}}
 	merge := newTop(rn.route.TopK)
 	for i := range rs.Parts {
@@ -284,7 +287,8 @@
 }
 
 // took records what was sent.
-func (rn *run) took(rs scatter.Result[Answer]) {
+func (sv *Service) took(rn *run, rs scatter.Result[Answer]) {
+	sv.Parts.Add(int64(rs.Sends + rs.Hedges + rs.Retries))
 	rn.record.Sends, rn.record.Hedges, rn.record.Retries = rs.Sends, rs.Hedges, rs.Retries
 	rn.record.Parts = make([]contract.PartRecord, len(rs.Parts))
 	for i := range rs.Parts {
--- a/internal/world/machine/entryvm.go
+++ b/internal/world/machine/entryvm.go
@@ -34,6 +34,10 @@
 	HeardAt time.Time `json:"heard_at"`
 	// Version is the newest object version that the VM has in force.
 	Version int64 `json:"version"`
+	// Capacity is the number of parts a second that the VM can send; 0 is not
+	// known. Load is the number that it sends.
+	Capacity uint32 `json:"capacity"`
+	Load     uint32 `json:"load"`
 	// Digest is over all settings that the VM has in force.
 	Digest uint64 `json:"digest"`
 }
--- a/internal/world/machine/server.go
+++ b/internal/world/machine/server.go
@@ -331,9 +331,10 @@
 }
 
 // ConnectionShare returns how many connections one of entryVMs processes may
-// open to the server, at least 1. spare is the room kept for replacements.
-func (sv *Server) ConnectionShare(entryVMs, spare int) int {
-	return max(sv.ConnectionLimit/max(entryVMs+spare, 1), 1)
+// open to the server, at least 1. spare is the room kept for replacements, kept
+// the part of the limit, in 1/100, that is left to others.
+func (sv *Server) ConnectionShare(entryVMs, spare, kept int) int {
+	return max(sv.ConnectionLimit*(100-kept)/100/max(entryVMs+spare, 1), 1)
 }
 
 // Ended takes in the end of an attempt that gave no answer. took is without the
