Log, count and dump the forwarding path; never hedge late out of a spent budget

Log lines of requests are bounded by rate and go through a queue that drops and counts; metrics and the dump are on the deploy file's port. A part is now hedged at its time or not at all.

--- a/cmd/daisystage/forward.go
+++ b/cmd/daisystage/forward.go
@@ -8,6 +8,7 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
+	"daisystage.example/daisystage/internal/node/events"
 	"daisystage.example/daisystage/internal/node/forwardvm"
 	"daisystage.example/daisystage/platform"
 )
@@ -32,14 +33,15 @@
 	if err != nil {
 		return usageError{err}
 	}
-	log, err := newLogger(cg.LogLevel, "json", tl.out)
+	queue, endQueue := events.NewQueue(tl.out)
+	defer endQueue()
+	log, err := newLogger(cg.LogLevel, "json", queue)
 	if err != nil {
 		return err
 	}
-	defer func() { _ = log.Sync() }()
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	ps, end, err := forwardvm.Start(time.Now(), cg, platform.FrontEnd(cg), log)
+	ps, end, err := forwardvm.Start(time.Now(), cg, platform.FrontEnd(cg), log, queue)
 	if err != nil {
 		return err
 	}
--- a/internal/node/events/events.go
+++ b/internal/node/events/events.go
@@ -55,6 +55,7 @@
 	AnswerPartial = Event{501, "answer_partial", zapcore.WarnLevel}
 	AnswerRefused = Event{502, "answer_refused", zapcore.WarnLevel}
 	AnswerUnknown = Event{503, "answer_unknown", zapcore.ErrorLevel}
+	AnswerWhole   = Event{504, "answer_whole", zapcore.InfoLevel}
 
 	SettingAccepted = Event{601, "setting_accepted", zapcore.InfoLevel}
 	SettingRefused  = Event{602, "setting_refused", zapcore.WarnLevel}
@@ -68,7 +69,7 @@
 		WatchFailed, OlderObject, BadObject, StaleStore, ReceiptsDropped, ReceiptsFailed, ClaimsSwept,
 		PeerFailed, PeerJoined, PeerSilent, Isolated, Confirmed, PeerPulled,
 		ServerGone, ServerLost, Quarantined, Library,
-		AnswerPartial, AnswerRefused, AnswerUnknown,
+		AnswerPartial, AnswerRefused, AnswerUnknown, AnswerWhole,
 		SettingAccepted, SettingRefused, TableInForce,
 	}
 }
--- a/internal/node/forwardvm/process.go
+++ b/internal/node/forwardvm/process.go
@@ -17,6 +17,7 @@
 
 	"daisystage.example/daisystage/internal/container/rcu"
 	"daisystage.example/daisystage/internal/node/events"
+	"daisystage.example/daisystage/internal/node/metrics"
 	"daisystage.example/daisystage/internal/peer/backend"
 	"daisystage.example/daisystage/internal/peer/entry"
 	"daisystage.example/daisystage/internal/peer/platform"
@@ -94,7 +95,10 @@
 	Fleets       *rcu.Value[view.Fleet]
 	Confirmation *view.Confirmation
 	Backend      *backend.Client
+	Metrics      *metrics.Metrics
 	Log          *zap.Logger
+	// LogQueue is under Log; nil if there is none.
+	LogQueue *events.Queue
 
 	target  *fleetTarget
 	watcher *platform.Watcher
@@ -115,15 +119,16 @@
 	stop     sync.Once
 }
 
-// Start starts a process. The function that it returns ends the process at
+// Start starts a process. queue is under log, or nil. The function that it returns ends the process at
 // once; Stop ends it without cutting a request.
-func Start(now time.Time, cg Config, fe FrontEnd, log *zap.Logger) (*Process, func(), error) {
+func Start(now time.Time, cg Config, fe FrontEnd, log *zap.Logger, queue *events.Queue) (*Process, func(), error) {
 	ps := &Process{
 		Config:       cg,
 		settings:     rcu.New(cg),
 		Fleets:       rcu.New(view.Fleet{}),
 		Confirmation: &view.Confirmation{},
 		Log:          log.With(zap.String("entry_vm", cg.Name), zap.String("zone", cg.Zone)),
+		LogQueue:     queue,
 		startedAt:    now,
 	}
 	ps.build(now, fe)
@@ -160,6 +165,9 @@
 	var endBackend func()
 	ps.Backend, endBackend = backend.New(dial)
 	ps.cleanups = append(ps.cleanups, endBackend)
+	var endMetrics func()
+	ps.Metrics, endMetrics = metrics.New(cg.Name, cg.Zone)
+	ps.cleanups = append(ps.cleanups, endMetrics)
 	quarantine := contract.NewQuarantine()
 	quarantine.SuspectAt, quarantine.BarAt = suspectAt, suspectAt
 	transport := &entry.GRPC{Dial: dial}
@@ -179,13 +187,13 @@
 	}
 	ps.Cluster.Init()
 	ps.Service = &forward.Service{
-		Fleets: ps.Fleets, Confirmation: ps.Confirmation, Quarantine: quarantine,
+		Fleets: ps.Fleets, Word: ps.Cluster.Word, Quarantine: quarantine,
 		Engine: &scatter.Engine[scatter.LeastExpected, scatter.GoalHedge, forward.Send, forward.Answer]{
 			Sender: fe.Sender(ps.Backend, ps.Fleets), Zone: zone.Zone{Name: cg.Zone, Else: zoneDelay},
 			Quarantine: quarantine, Crashed: ps.crashed,
 		},
 		Budgets:  forward.NewBudgets(now, cg.Retries, len(cg.Peers)+1),
-		Observer: &observer{ps.Log},
+		Observer: newObserver(ps.Log, ps.Metrics.Scope),
 	}
 }
 
@@ -204,6 +212,12 @@
 		{ps.Config.ReadyAddress, fe.Ready(ps)},
 		{ps.Config.DirectoryAddress, fe.Places(ps)},
 	}
+	if ps.Config.MetricsAddress != "" {
+		listeners = append(listeners, struct {
+			address string
+			handler http.Handler
+		}{ps.Config.MetricsAddress, ps.operatorRoutes()})
+	}
 	for _, ln := range listeners {
 		if err := ps.serveHTTP(ln.address, ln.handler); err != nil {
 			return err
--- /dev/null
+++ b/internal/node/forwardvm/state.go
@@ -0,0 +1,120 @@
+package forwardvm
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"daisystage.example/daisystage/internal/node/events"
+	"daisystage.example/daisystage/internal/peer/backend"
+	"daisystage.example/daisystage/internal/world/contract"
+	"daisystage.example/daisystage/internal/world/machine"
+)
+
+// State is the dump of a process: what it believes, with age and version.
+type State struct {
+	At        time.Time `json:"at"`
+	Name      string    `json:"name"`
+	Zone      string    `json:"zone"`
+	StartedAt time.Time `json:"started_at"`
+	Ready     bool      `json:"ready"`
+	Leaving   bool      `json:"leaving"`
+	// Carries is set while callers are sent here.
+	Carries bool `json:"carries"`
+	// Watches is set while this process watches the platform itself.
+	Watches      bool `json:"watches"`
+	PlatformAway bool `json:"platform_away"`
+	// WordAge is the time since the platform's word, own or through a peer.
+	WordAge time.Duration `json:"word_age_ns"`
+	// Version and Digest are of the copy of the platform's objects.
+	Version      int64                        `json:"version"`
+	Digest       uint64                       `json:"digest"`
+	TableVersion int64                        `json:"table_version"`
+	Routes       []*contract.ForwardRoute     `json:"routes"`
+	EntryVMs     []machine.EntryVM            `json:"entry_vms"`
+	Servers      []ServerState                `json:"servers"`
+	Quarantines  map[uint64]contract.Crashes  `json:"quarantines"`
+	Links        map[string]backend.PoolState `json:"links"`
+}
+
+// ServerState is what the process knows of one server.
+type ServerState struct {
+	*machine.Server
+	InFlight    int64         `json:"in_flight"`
+	Latency     time.Duration `json:"latency_ns"`
+	RejectShare int64         `json:"reject_share_per_mille"`
+	Suspect     bool          `json:"suspect"`
+	Leaves      bool          `json:"leaves"`
+	Runs        int64         `json:"runs"`
+}
+
+// State returns the dump. It takes no lock that requests wait for.
+func (ps *Process) State(now time.Time) State {
+	fl := ps.Fleets.Load()
+	st := State{
+		At: now, Name: ps.Config.Name, Zone: ps.Config.Zone, StartedAt: ps.startedAt,
+		Ready: ps.IsReady(now), Leaving: ps.IsLeaving(), Carries: ps.carries.Load(),
+		Watches: ps.watcher.IsCurrent(), PlatformAway: ps.isPlatformAway(), WordAge: now.Sub(ps.Cluster.Word()),
+		Version: fl.Version, Digest: fl.Digest, EntryVMs: ps.Cluster.Members(now),
+		Quarantines: ps.Service.Quarantine.Current(), Links: ps.Backend.Pools(),
+	}
+	if fl.Table != nil {
+		st.TableVersion, st.Routes = fl.Table.Version, fl.Table.Routes
+	}
+	for _, servers := range fl.Services {
+		for _, sv := range servers {
+			st.Servers = append(st.Servers, ServerState{
+				Server: sv, InFlight: sv.State.InFlight.Load(), Latency: time.Duration(sv.State.LatencyNanos.Load()),
+				RejectShare: sv.State.RejectShare(now), Suspect: sv.State.Suspect(now), Leaves: sv.IsLeaving(now),
+				Runs: sv.State.Runs.Load(),
+			})
+		}
+	}
+	return st
+}
+
+// operatorRoutes serves the metrics and the dump.
+func (ps *Process) operatorRoutes() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", ps.Metrics.Handler)
+	mux.HandleFunc("GET /state", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		if err := json.NewEncoder(w).Encode(ps.State(time.Now())); err != nil {
+			events.Library.Log(ps.Log, zap.String("message", "write state"), zap.Error(err))
+		}
+	})
+	return mux
+}
+
+// publish sets the gauges.
+func (ps *Process) publish(now time.Time) {
+	fl := ps.Fleets.Load()
+	version := int64(0)
+	if fl.Table != nil {
+		version = fl.Table.Version
+	}
+	open := int64(0)
+	for _, pl := range ps.Backend.Pools() {
+		open += pl.Open
+	}
+	ps.Metrics.Gauges(map[string]float64{
+		"forward_table_version":     float64(version),
+		"forward_word_age_seconds":  now.Sub(ps.Cluster.Word()).Seconds(),
+		"forward_servers":           float64(len(fl.Servers)),
+		"forward_entry_vms":         float64(ps.liveEntryVMs(now)),
+		"forward_links":             float64(open),
+		"forward_load":              float64(ps.load.Load()),
+		"forward_mismatched":        float64(ps.Backend.Mismatched.Load()),
+		"forward_extra_refused":     float64(ps.Service.Budgets.Refused()),
+		"forward_log_lines_dropped": float64(ps.droppedLines()),
+	})
+}
+
+func (ps *Process) droppedLines() int64 {
+	if ps.LogQueue == nil {
+		return 0
+	}
+	return ps.LogQueue.Dropped.Load()
+}
--- a/internal/node/forwardvm/upkeep.go
+++ b/internal/node/forwardvm/upkeep.go
@@ -12,8 +12,6 @@
 
 	"daisystage.example/daisystage/internal/node/events"
 	"daisystage.example/daisystage/internal/peer/backend"
-	"daisystage.example/daisystage/internal/query/forward"
-	"daisystage.example/daisystage/internal/world/contract"
 	"daisystage.example/daisystage/internal/world/machine"
 	"daisystage.example/daisystage/internal/world/view"
 )
@@ -134,6 +132,7 @@
 	}
 	ps.load.Store(smoothed(ps.load.Load(), ps.Service.Parts.Swap(0)))
 	ps.share(now)
+	ps.publish(now)
 	ps.Backend.Forget(func(name, address string) bool {
 		sv := ps.Fleets.Load().Servers[name]
 		return sv != nil && sv.Address == address
@@ -214,37 +213,3 @@
 	}
 	return max(count, len(ps.settings.Load().Peers))
 }
-
-// observer logs the calls that did not go as usual.
-type observer struct {
-	log *zap.Logger
-}
-
-// Forwarded is of forward.Observer.
-func (ob *observer) Forwarded(rc *forward.Record) {
-	event := events.AnswerPartial
-	switch rc.Outcome {
-	case contract.Whole:
-		return
-	case contract.Unknown:
-		event = events.AnswerUnknown
-	case contract.NotRun, contract.Invalid:
-		event = events.AnswerRefused
-	}
-	var missed []string
-	for _, pt := range rc.Parts {
-		for _, ms := range pt.Misses {
-			missed = append(missed, pt.Shard+"/"+ms.Server+":"+string(ms.Cause))
-		}
-		if pt.Why != "" {
-			missed = append(missed, pt.Shard+":"+string(pt.Why))
-		}
-	}
-	event.Log(ob.log,
-		zap.String("request_id", rc.ID), zap.String("route", rc.Route), zap.Int64("table_version", rc.TableVersion),
-		zap.Duration("table_age", rc.Age), zap.Duration("took", rc.Took),
-		zap.String("outcome", string(rc.Outcome)), zap.String("code", string(rc.Code)), zap.String("reason", rc.Reason),
-		zap.Int("answered", rc.Coverage.Answered), zap.Int("total", rc.Coverage.Total),
-		zap.Int("hedges", rc.Hedges), zap.Int("retries", rc.Retries), zap.String("missed", strings.Join(missed, " ")),
-	)
-}
--- a/internal/peer/entry/cluster.go
+++ b/internal/peer/entry/cluster.go
@@ -249,8 +249,8 @@
 	cr.answered(ctx, sentAt, address, reply)
 }
 
-// word returns when the platform last gave its word, to this process or a peer.
-func (cr *Cluster) word() time.Time {
+// Word returns when the platform last gave its word, to this process or a peer.
+func (cr *Cluster) Word() time.Time {
 	asOf := cr.Confirmation.AsOf()
 	if cr.Direct == nil {
 		return asOf
@@ -266,8 +266,8 @@
 	own := cr.Own(now)
 	hb := &entrypb.Heartbeat{
 		Sender:       encodeMember(now, own),
-		Confirmed:    now.Sub(cr.word()) <= view.ConfirmedFor,
-		ConfirmedMs:  ageOf(now, cr.word()),
+		Confirmed:    now.Sub(cr.Word()) <= view.ConfirmedFor,
+		ConfirmedMs:  ageOf(now, cr.Word()),
 		PlatformDown: cr.PlatformDown(),
 		Version:      own.Version,
 		Digest:       own.Digest,
--- a/internal/query/forward/budgets.go
+++ b/internal/query/forward/budgets.go
@@ -48,6 +48,16 @@
 	return ok && value.(*contract.ServiceBudget).IsUsed(now)
 }
 
+// Refused counts the extra sends that were not allowed.
+func (bg *Budgets) Refused() int64 {
+	refused := int64(0)
+	bg.services.Range(func(_, value any) bool {
+		refused += value.(*contract.ServiceBudget).Refused.Load()
+		return true
+	})
+	return refused
+}
+
 func asRefusal(err error) *contract.Refusal {
 	if refusal := (*contract.Refusal)(nil); errors.As(err, &refusal) {
 		return refusal
--- a/internal/query/forward/forward.go
+++ b/internal/query/forward/forward.go
@@ -93,7 +93,7 @@
 
 // Observer is told of each finished call.
 type Observer interface {
-	Forwarded(rc *Record)
+	Forwarded(now time.Time, rc *Record)
 }
 
 // routeState is what the process keeps of a route across tables.
@@ -105,12 +105,13 @@
 // Service answers calls. All fields but the private ones are set before the
 // first call and not changed.
 type Service struct {
-	Fleets       *rcu.Value[view.Fleet]
-	Confirmation *view.Confirmation
-	Quarantine   *contract.Quarantine
-	Engine       Runner
-	Budgets      *Budgets
-	Observer     Observer
+	Fleets *rcu.Value[view.Fleet]
+	// Word returns when the platform last gave its word.
+	Word       func() time.Time
+	Quarantine *contract.Quarantine
+	Engine     Runner
+	Budgets    *Budgets
+	Observer   Observer
 	// Parts counts the attempts sent; the owner resets it.
 	Parts atomic.Int64
 
@@ -171,7 +172,7 @@
 		return contract.Refuse(contract.NotRun, contract.CodeStarting, "this entry VM has no configuration yet")
 	}
 	rn.record.TableVersion = tb.Version
-	rn.record.Age = now.Sub(sv.Confirmation.AsOf())
+	rn.record.Age = now.Sub(sv.Word())
 	rn.route = tb.Match(rn.call.Message.Host, rn.call.Message.URL.Path)
 	if rn.route == nil {
 		return contract.Refuse(contract.Invalid, contract.CodeNoRoute, "no route has this host and path")
@@ -310,7 +311,7 @@
 			rc.Outcome = contract.Partial
 		}
 	}
-	sv.Observer.Forwarded(rc)
+	sv.Observer.Forwarded(now, rc)
 }
 
 // Tend renews the published latencies. It is called several times a second.
--- a/internal/query/forward/forward_test.go
+++ b/internal/query/forward/forward_test.go
@@ -39,7 +39,7 @@
 
 type records struct{ all []*Record }
 
-func (rc *records) Forwarded(record *Record) { rc.all = append(rc.all, record) }
+func (rc *records) Forwarded(_ time.Time, record *Record) { rc.all = append(rc.all, record) }
 
 func newService(t *testing.T, sc *scripted) (*Service, *records) {
 	t.Helper()
@@ -57,7 +57,7 @@
 	assert.NilError(t, err)
 	rc := &records{}
 	return &Service{
-		Fleets: rcu.New(view.Fleet{Table: tb}), Confirmation: &view.Confirmation{}, Quarantine: contract.NewQuarantine(),
+		Fleets: rcu.New(view.Fleet{Table: tb}), Word: time.Now, Quarantine: contract.NewQuarantine(),
 		Engine: sc, Budgets: NewBudgets(time.Now(), contract.Allowance{Window: 10 * time.Second}, 1), Observer: rc,
 	}, rc
 }
--- a/internal/query/scatter/gather.go
+++ b/internal/query/scatter/gather.go
@@ -64,6 +64,8 @@
 	startedAt time.Time
 	// hedgeAt is when a second attempt is due, if there is no answer by then.
 	hedgeAt time.Time
+	// unhedged is set when the budget had nothing left for a hedge.
+	unhedged bool
 	// over is set when the part is answered or given up.
 	over bool
 }
--- a/internal/query/scatter/retry.go
+++ b/internal/query/scatter/retry.go
@@ -70,7 +70,7 @@
 }
 
 func (pt *partState[A]) mayHedge() bool {
-	return !pt.over && len(pt.open) == 1 && pt.Record.Hedges == 0
+	return !pt.over && !pt.unhedged && len(pt.open) == 1 && pt.Record.Hedges == 0
 }
 
 // hedge sends a second attempt for each part that is due, while the budget
@@ -88,7 +88,8 @@
 			continue
 		}
 		if !pt.shard.Budget.TryHedge(now, ga.decides()) {
-			pt.hedgeAt = now.Add(max(ga.hedgeAfter, minHedgeWait))
+			// A hedge that comes later takes the budget of one that is in time.
+			pt.unhedged = true
 			continue
 		}
 		pt.Record.Hedges = 1
