--- a/internal/query/forward/forward.go
+++ b/internal/query/forward/forward.go
@@ -155,14 +155,14 @@
 	if err := sv.plan(now, rn); err != nil {
 		return nil, err
 	}
-	print := contract.Fingerprint(rn.call.Message.URL.Path, rn.call.Message.Body)
-	if sv.Quarantine.Bars(now, print) {
+	fingerprint := contract.Fingerprint(rn.call.Message.URL.Path, rn.call.Message.Body)
+	if sv.Quarantine.Bars(now, fingerprint) {
 		return nil, contract.Refuse(contract.NotRun, contract.CodeQuarantined, "servers were lost while they ran this request")
 	}
 	if len(rn.route.Shards) > 0 {
-		return sv.gather(ctx, now, rn, print)
+		return sv.gather(ctx, now, rn, fingerprint)
 	}
-	return sv.pass(ctx, now, rn, print)
+	return sv.pass(ctx, now, rn, fingerprint)
 }
 
 // plan finds what the call runs under.
@@ -202,10 +202,10 @@
 }
 
 // job returns the job of a call on services.
-func (sv *Service) job(now time.Time, rn *run, print uint64, services []string) *scatter.Job[Send] {
+func (sv *Service) job(now time.Time, rn *run, fingerprint uint64, services []string) *scatter.Job[Send] {
 	rt := rn.route
 	jb := &scatter.Job[Send]{
-		Fingerprint: print,
+		Fingerprint: fingerprint,
 		Terms: scatter.Terms{
 			Class: contract.Urgent, Idempotent: rt.Idempotent, MaxAttempts: rt.MaxAttempts, MinCoverage: rt.MinCoverage,
 			Goal: rt.Goal, Canary: contract.CanaryOff, ReplyMargin: replyMargin, TryAgain: true,
@@ -228,9 +228,9 @@
 }
 
 // pass sends a call to one server of one service.
-func (sv *Service) pass(ctx context.Context, now time.Time, rn *run, print uint64) (*Reply, error) {
+func (sv *Service) pass(ctx context.Context, now time.Time, rn *run, fingerprint uint64) (*Reply, error) {
 	service := rn.state.splitter.Pick(rn.route.Services)
-	jb := sv.job(now, rn, print, []string{service})
+	jb := sv.job(now, rn, fingerprint, []string{service})
 	rs := sv.Engine.Run(ctx, jb)
 	sv.took(rn, rs)
 	part := &rs.Parts[0]
@@ -245,8 +245,8 @@
 }
 
 // gather sends a call to all shards of its route and merges what they answer.
-func (sv *Service) gather(ctx context.Context, now time.Time, rn *run, print uint64) (*Reply, error) {
-	jb := sv.job(now, rn, print, rn.route.Shards)
+func (sv *Service) gather(ctx context.Context, now time.Time, rn *run, fingerprint uint64) (*Reply, error) {
+	jb := sv.job(now, rn, fingerprint, rn.route.Shards)
 	if goal := rn.route.Goal; goal > 0 {
 		jb.EnoughAt = now.Add(goal - min(goalMargin, goal*goalShare/100))
 	}
--- a/internal/query/scatter/gather.go
+++ b/internal/query/scatter/gather.go
@@ -264,12 +264,12 @@
 		ga.job.Lost(now, sv)
 	}
 	// A request that was answered before does not crash servers.
-	quarantine, print := ga.engine.Quarantine, ga.job.Fingerprint
-	if cause != contract.CauseLinkBroken || quarantine.IsProven(print) {
+	quarantine, fingerprint := ga.engine.Quarantine, ga.job.Fingerprint
+	if cause != contract.CauseLinkBroken || quarantine.IsProven(fingerprint) {
 		return
 	}
-	if quarantine.Crashed(now, print, sv.Name) && ga.engine.Crashed != nil {
-		ga.engine.Crashed(now, print, sv.Name)
+	if quarantine.Crashed(now, fingerprint, sv.Name) && ga.engine.Crashed != nil {
+		ga.engine.Crashed(now, fingerprint, sv.Name)
 	}
 }
 
--- a/internal/world/machine/place.go
+++ b/internal/world/machine/place.go
@@ -8,11 +8,11 @@
 )
 
 const (
-	// PartCost is the processor time of one part on a whole core, and
-	// PartBytes what it moves over the VM's link: the slopes of processor time
-	// and bytes over parts in docs/MEASUREMENTS.md.
-	PartCost  = 150 * time.Microsecond
-	PartBytes = 1500
+	// partCost is the processor time of one part on a whole core, and partBytes
+	// what it moves over the VM's link: the slopes of processor time and bytes
+	// over parts in docs/MEASUREMENTS.md.
+	partCost  = 150 * time.Microsecond
+	partBytes = 1500
 	// bitsPerByte turns the speed of links into bytes.
 	bitsPerByte = 8
 	// headroom is the number of times that the load of a zone may grow before
@@ -29,11 +29,11 @@
 
 // CapacityOf returns the number of parts a second that a VM can send.
 func CapacityOf(cores, linkMbps float64) uint32 {
-	bySpeed := cores * float64(time.Second/PartCost)
+	bySpeed := cores * float64(time.Second/partCost)
 	if linkMbps <= 0 {
 		return uint32(bySpeed)
 	}
-	byLink := linkMbps * 1e6 / bitsPerByte / PartBytes
+	byLink := linkMbps * 1e6 / bitsPerByte / partBytes
 	return uint32(min(bySpeed, byLink))
 }
 
