--- a/internal/peer/backend/pool.go
+++ b/internal/peer/backend/pool.go
@@ -218,6 +218,7 @@
 
 // trim closes unused links that are expired or above the share.
 func (pl *pool) trim(now time.Time) {
+	// What tells waiters of room goes too: nobody waits while links are unused.
 	for range len(pl.idle) {
 		select {
 		case cn := <-pl.idle:
--- a/internal/world/machine/server.go
+++ b/internal/world/machine/server.go
@@ -37,6 +37,9 @@
 	// riseWeight and fallWeight are the weights of a new latency, in 1/100.
 	riseWeight = 30
 	fallWeight = 10
+	// cutWeight is the weight of an answer that was not waited for: servers pause
+	// for a moment, and those that are slow soon show it again.
+	cutWeight = 15
 	// shortestLatency keeps a known latency from looking unknown.
 	shortestLatency = time.Microsecond
 	// latencyHalfLife is the time in which an unused latency counts half.
@@ -267,8 +270,8 @@
 // ObserveAtLeast takes in an answer that was not waited for to its end: the
 // latency does not fall, and does not fade for a while.
 func (st *ServerState) ObserveAtLeast(now time.Time, took time.Duration) {
-	if int64(took) > st.LatencyNanos.Load() {
-		st.Observe(now, took)
+	if old := st.LatencyNanos.Load(); int64(took) > old {
+		st.LatencyNanos.CompareAndSwap(old, old+(int64(took)-old)*cutWeight/100)
 	}
 	st.LatencyAt.Store(now.UnixNano())
 }
