--- a/internal/node/entryvm/process.go
+++ b/internal/node/entryvm/process.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"slices"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -16,6 +15,7 @@
 	"daisystage.example/daisystage/internal/container/rcu"
 	"daisystage.example/daisystage/internal/container/ring"
 	"daisystage.example/daisystage/internal/node/events"
+	"daisystage.example/daisystage/internal/node/lifecycle"
 	"daisystage.example/daisystage/internal/node/metrics"
 	"daisystage.example/daisystage/internal/peer/backend"
 	"daisystage.example/daisystage/internal/peer/caller"
@@ -82,11 +82,8 @@
 	transport *entry.GRPC
 	// phase is what the process is doing, for the dump.
 	phase atomic.Value
-	// cancel ends the goroutines in work.
-	cancel   context.CancelFunc
-	work     sync.WaitGroup
-	cleanups []func()
-	stop     sync.Once
+	// group holds the goroutines and links of the process.
+	group lifecycle.Group
 }
 
 // Start starts a process. The function that it returns ends the process at
@@ -103,22 +100,22 @@
 	}
 	ps.phase.Store("serving")
 	if err := ps.build(now, nw); err != nil {
-		ps.close()
+		ps.group.Close()
 		return nil, nil, err
 	}
 	if err := ps.listen(nw); err != nil {
-		ps.close()
+		ps.group.Close()
 		return nil, nil, err
 	}
 	ps.run()
 	events.Started.Log(ps.Log, zap.String("caller_address", cg.CallerAddress), zap.String("operator_address", cg.OperatorAddress))
-	return ps, ps.close, nil
+	return ps, ps.group.Close, nil
 }
 
 func (ps *Process) build(now time.Time, nw Network) error {
 	cg := ps.Config
 	hc := &http.Client{Transport: &http.Transport{DialContext: nw.Dial, MaxIdleConnsPerHost: 16, IdleConnTimeout: 30 * time.Second}}
-	ps.cleanups = append(ps.cleanups, hc.CloseIdleConnections)
+	ps.group.Cleanup(hc.CloseIdleConnections)
 	var err error
 	ps.Platform, err = platform.New(cg.PlatformAddresses, hc, platform.Budget{ReadsPerSecond: cg.PlatformReads, WritesPerSecond: cg.PlatformWrites})
 	if err != nil {
@@ -126,10 +123,10 @@
 	}
 	var endMetrics func()
 	ps.Metrics, endMetrics = metrics.New(cg.Name, cg.Zone)
-	ps.cleanups = append(ps.cleanups, endMetrics)
+	ps.group.Cleanup(endMetrics)
 	var endBackend func()
 	ps.Backend, endBackend = backend.New(nw.Dial)
-	ps.cleanups = append(ps.cleanups, endBackend)
+	ps.group.Cleanup(endBackend)
 	ps.Receipts = platform.NewReceipts(ps.Platform, cg.Name, ps.Log)
 	ps.buildCluster(now, nw)
 	ps.buildService()
@@ -147,7 +144,7 @@
 func (ps *Process) buildCluster(now time.Time, nw Network) {
 	cg := ps.Config
 	ps.transport = &entry.GRPC{Dial: nw.Dial}
-	ps.cleanups = append(ps.cleanups, ps.transport.Close)
+	ps.group.Cleanup(ps.transport.Close)
 	ps.Cluster = &entry.Cluster{
 		Self: machine.EntryVM{
 			Name: cg.Name, Zone: cg.Zone, CallerAddress: cg.CallerAddress, OperatorAddress: cg.OperatorAddress,
@@ -166,7 +163,7 @@
 
 func (ps *Process) buildService() {
 	claims, endClaims := platform.NewClaims(ps.Platform, ps.Config.Name)
-	ps.cleanups = append(ps.cleanups, endClaims)
+	ps.group.Cleanup(endClaims)
 	ps.Service = &request.Service{
 		Name: ps.Config.Name, Zone: ps.Config.Zone,
 		Views: ps.Views, Confirmation: ps.Confirmation, Quarantine: ps.Quarantine,
@@ -175,7 +172,7 @@
 		},
 		Claims: claims, Receipts: ps.ring, Keep: ps.Receipts.Keep, Observer: &observer{ps.Metrics, ps.Log},
 	}
-	ps.cleanups = append(ps.cleanups, ps.Service.Close)
+	ps.group.Cleanup(ps.Service.Close)
 	ps.caller = &caller.Handler{
 		Service: ps.Service, Zone: ps.zone(), Members: ps.Cluster.Members,
 		KeepFor: ps.Config.KeepFor.Duration, MaxBody: ps.Config.MaxBodyBytes,
@@ -220,8 +217,8 @@
 		return fmt.Errorf("listen on entry_address: %w", err)
 	}
 	ps.grpc = entry.NewServer(ps.Cluster)
-	ps.work.Go(func() { _ = ps.grpc.Serve(ls) })
-	ps.cleanups = append(ps.cleanups, ps.grpc.Stop)
+	ps.group.Go(func() { _ = ps.grpc.Serve(ls) })
+	ps.group.Cleanup(ps.grpc.Stop)
 	return nil
 }
 
@@ -232,8 +229,8 @@
 	}
 	hs := &http.Server{Handler: routes, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 2 * time.Minute}
 	ps.servers = append(ps.servers, hs)
-	ps.cleanups = append(ps.cleanups, func() { _ = hs.Close() })
-	ps.work.Go(func() { _ = hs.Serve(ls) })
+	ps.group.Cleanup(func() { _ = hs.Close() })
+	ps.group.Go(func() { _ = hs.Serve(ls) })
 	return nil
 }
 
@@ -243,10 +240,8 @@
 
 // run starts the goroutines that keep the process up to date.
 func (ps *Process) run() {
-	ctx, cancel := context.WithCancel(context.Background())
-	ps.cancel = cancel
 	watcher := platform.NewWatcher(ps.Platform, view.Prefixes(), ps.target(), platform.Pace{}.Defaults(), ps.Log)
-	for _, task := range []func(context.Context){
+	ps.group.Run(
 		watcher.Run,
 		ps.Cluster.Run,
 		ps.tend,
@@ -254,22 +249,7 @@
 		ps.sweep,
 		func(ctx context.Context) { ps.Backend.Poll(ctx, ps.knownServers) },
 		func(ctx context.Context) { platform.WatchVMs(ctx, ps.Platform, ps.takeVMs) },
-	} {
-		ps.work.Go(func() { task(ctx) })
-	}
-}
-
-// close ends everything at once.
-func (ps *Process) close() {
-	ps.stop.Do(func() {
-		if ps.cancel != nil {
-			ps.cancel()
-		}
-		for i := len(ps.cleanups) - 1; i >= 0; i-- {
-			ps.cleanups[i]()
-		}
-		ps.work.Wait()
-	})
+	)
 }
 
 // Stop ends the process without cutting a request: it leaves the list of
@@ -291,6 +271,6 @@
 	flush, cancelFlush := context.WithTimeout(context.Background(), flushTime)
 	defer cancelFlush()
 	ps.Receipts.Flush(flush)
-	ps.close()
+	ps.group.Close()
 	events.Stopped.Log(ps.Log, zap.Int("receipts_left", ps.Receipts.Waiting()))
 }
--- a/internal/node/forwardvm/process.go
+++ b/internal/node/forwardvm/process.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -17,6 +16,7 @@
 
 	"daisystage.example/daisystage/internal/container/rcu"
 	"daisystage.example/daisystage/internal/node/events"
+	"daisystage.example/daisystage/internal/node/lifecycle"
 	"daisystage.example/daisystage/internal/node/metrics"
 	"daisystage.example/daisystage/internal/peer/backend"
 	"daisystage.example/daisystage/internal/peer/entry"
@@ -112,15 +112,12 @@
 	carries atomic.Bool
 	servers []*http.Server
 	grpc    *grpc.Server
-	// cancel ends the goroutines in work.
-	cancel   context.CancelFunc
-	work     sync.WaitGroup
-	cleanups []func()
-	stop     sync.Once
+	// group holds the goroutines and links of the process.
+	group lifecycle.Group
 }
 
-// Start starts a process. queue is under log, or nil. The function that it returns ends the process at
-// once; Stop ends it without cutting a request.
+// Start starts a process; queue is under log, or nil. The function that it
+// returns ends the process at once; Stop ends it without cutting a request.
 func Start(now time.Time, cg Config, fe FrontEnd, log *zap.Logger, queue *events.Queue) (*Process, func(), error) {
 	ps := &Process{
 		Config:       cg,
@@ -133,12 +130,12 @@
 	}
 	ps.build(now, fe)
 	if err := ps.listen(fe); err != nil {
-		ps.close()
+		ps.group.Close()
 		return nil, nil, err
 	}
 	ps.run()
 	events.Started.Log(ps.Log, zap.String("caller_address", cg.CallerAddress))
-	return ps, ps.close, nil
+	return ps, ps.group.Close, nil
 }
 
 // dial makes connections whose silence shows soon: what was sent and is not
@@ -164,14 +161,14 @@
 	cg := ps.Config
 	var endBackend func()
 	ps.Backend, endBackend = backend.New(dial)
-	ps.cleanups = append(ps.cleanups, endBackend)
+	ps.group.Cleanup(endBackend)
 	var endMetrics func()
 	ps.Metrics, endMetrics = metrics.New(cg.Name, cg.Zone)
-	ps.cleanups = append(ps.cleanups, endMetrics)
+	ps.group.Cleanup(endMetrics)
 	quarantine := contract.NewQuarantine()
 	quarantine.SuspectAt, quarantine.BarAt = suspectAt, suspectAt
 	transport := &entry.GRPC{Dial: dial}
-	ps.cleanups = append(ps.cleanups, transport.Close)
+	ps.group.Cleanup(transport.Close)
 	ps.target = &fleetTarget{process: ps, codec: fe.Objects}
 	ps.watcher = platform.NewWatcher(fe.Store, []string{view.PrefixTable, view.PrefixMembers}, ps.target,
 		platform.Pace{Wait: waitOfWatch, Pause: watchPause}, ps.Log)
@@ -228,8 +225,8 @@
 		return fmt.Errorf("listen on entry_address: %w", err)
 	}
 	ps.grpc = entry.NewServer(ps.Cluster)
-	ps.work.Go(func() { _ = ps.grpc.Serve(ls) })
-	ps.cleanups = append(ps.cleanups, ps.grpc.Stop)
+	ps.group.Go(func() { _ = ps.grpc.Serve(ls) })
+	ps.group.Cleanup(ps.grpc.Stop)
 	return nil
 }
 
@@ -243,31 +240,14 @@
 		ErrorLog: zap.NewStdLog(zap.NewNop()),
 	}
 	ps.servers = append(ps.servers, hs)
-	ps.cleanups = append(ps.cleanups, func() { _ = hs.Close() })
-	ps.work.Go(func() { _ = hs.Serve(ls) })
+	ps.group.Cleanup(func() { _ = hs.Close() })
+	ps.group.Go(func() { _ = hs.Serve(ls) })
 	return nil
 }
 
 // run starts the goroutines that keep the process up to date.
 func (ps *Process) run() {
-	ctx, cancel := context.WithCancel(context.Background())
-	ps.cancel = cancel
-	for _, task := range []func(context.Context){ps.watcher.Run, ps.Cluster.Run, ps.tend} {
-		ps.work.Go(func() { task(ctx) })
-	}
-}
-
-// close ends everything at once.
-func (ps *Process) close() {
-	ps.stop.Do(func() {
-		if ps.cancel != nil {
-			ps.cancel()
-		}
-		for i := len(ps.cleanups) - 1; i >= 0; i-- {
-			ps.cleanups[i]()
-		}
-		ps.work.Wait()
-	})
+	ps.group.Run(ps.watcher.Run, ps.Cluster.Run, ps.tend)
 }
 
 // IsReady reports whether callers may be sent here.
@@ -331,6 +311,6 @@
 	if err := ps.servers[0].Shutdown(ctx); err != nil {
 		events.CutShort.Log(ps.Log, zap.Error(err))
 	}
-	ps.close()
+	ps.group.Close()
 	events.Stopped.Log(ps.Log)
 }
