--- a/internal/query/forward/forward.go
+++ b/internal/query/forward/forward.go
@@ -8,6 +8,7 @@
 	"context"
 	"net/http"
 	"net/url"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -256,7 +257,7 @@
 	merge := newTop(rn.route.TopK)
 	for i := range rs.Parts {
 		part := &rs.Parts[i]
-		if !part.Answered || contains(reply.Stamps, part.Answer.Stamp) {
+		if !part.Answered || slices.Contains(reply.Stamps, part.Answer.Stamp) {
 			reply.Coverage.Missing = append(reply.Coverage.Missing, part.Record.Shard)
 			continue
 		}
@@ -278,15 +279,6 @@
 	return reply, nil
 }
 
-func contains(stamps []string, stamp string) bool {
-	for _, have := range stamps {
-		if have == stamp {
-			return true
-		}
-	}
-	return false
-}
-
 // took records what was sent.
 func (sv *Service) took(rn *run, rs scatter.Result[Answer]) {
 	sv.Parts.Add(int64(rs.Sends + rs.Hedges + rs.Retries))
