Prefer servers that answer over those that failed a moment ago

Ruled out: the budget and hedges, which found no other replica.

Change: an answer to a later part ends the suspicion; while all others are full one part at a time tries a suspect server; room counts own work first; servers that fail parts cost like those that reject; an answer that was cut 150 ms after the first cut without one between counts twice; a part that tries a slow server again is hedged at about the median.

--- a/internal/node/forwardvm/state.go
+++ b/internal/node/forwardvm/state.go
@@ -42,12 +42,12 @@
 // ServerState is what the process knows of one server.
 type ServerState struct {
 	*machine.Server
-	InFlight    int64         `json:"in_flight"`
-	Latency     time.Duration `json:"latency_ns"`
-	RejectShare int64         `json:"reject_share_per_mille"`
-	Suspect     bool          `json:"suspect"`
-	Leaves      bool          `json:"leaves"`
-	Runs        int64         `json:"runs"`
+	InFlight  int64         `json:"in_flight"`
+	Latency   time.Duration `json:"latency_ns"`
+	MissShare int64         `json:"miss_share_per_mille"`
+	Suspect   bool          `json:"suspect"`
+	Leaves    bool          `json:"leaves"`
+	Runs      int64         `json:"runs"`
 }
 
 // State returns the dump. It takes no lock that requests wait for.
@@ -67,7 +67,7 @@
 		for _, sv := range servers {
 			st.Servers = append(st.Servers, ServerState{
 				Server: sv, InFlight: sv.State.InFlight.Load(), Latency: time.Duration(sv.State.LatencyNanos.Load()),
-				RejectShare: sv.State.RejectShare(now), Suspect: sv.State.Suspect(now), Leaves: sv.IsLeaving(now),
+				MissShare: sv.State.MissShare(now), Suspect: sv.State.Suspect(now), Leaves: sv.IsLeaving(now),
 				Runs: sv.State.Runs.Load(),
 			})
 		}
--- a/internal/query/scatter/engine_test.go
+++ b/internal/query/scatter/engine_test.go
@@ -227,3 +227,70 @@
 		assert.Assert(t, rejecting < 60, "%d of %d sends to the server that rejects", rejecting, len(fm.sends["shard-00"]))
 	})
 }
+
+// TestSuspicionDoesNotOverfillOneServer has two of three servers that failed a
+// moment ago and a third that answers late: parts must not pile up at it.
+func TestSuspicionDoesNotOverfillOneServer(t *testing.T) {
+	now := time.Now()
+	var servers []*machine.Server
+	for _, name := range []string{"late", "fast-1", "fast-2"} {
+		servers = append(servers, &machine.Server{Name: name, Zone: "a", Slots: 2, ConnectionLimit: 25, State: &machine.ServerState{}})
+	}
+	late := servers[0]
+	late.State.Succeeded(now, 80*time.Millisecond, 25)
+	for _, sv := range servers[1:] {
+		sv.State.Succeeded(now, 5*time.Millisecond, 25)
+		sv.State.Failed(now)
+	}
+	for range 20 {
+		sv := LeastExpected{}.Choose(now, zone.Zone{Name: "a"}, append([]*machine.Server(nil), servers...), "")
+		sv.State.InFlight.Add(1)
+	}
+	assert.Equal(t, servers[1].State.InFlight.Load(), int64(1), "one part at a time tries it")
+	assert.Equal(t, servers[2].State.InFlight.Load(), int64(1), "one part at a time tries it")
+	// The first answer of a fast one ends its suspicion.
+	servers[1].State.InFlight.Add(-1)
+	servers[1].State.Succeeded(now.Add(20*time.Millisecond), 5*time.Millisecond, 25)
+	before := late.State.InFlight.Load()
+	sv := LeastExpected{}.Choose(now.Add(20*time.Millisecond), zone.Zone{Name: "a"}, append([]*machine.Server(nil), servers...), "")
+	assert.Equal(t, sv.Name, "fast-1")
+	assert.Equal(t, late.State.InFlight.Load(), before)
+}
+
+// TestTrialOfSlowServerIsHedgedEarly has a server tried again that is still slow:
+// its part is hedged at about the usual time, not at the route's quantile.
+func TestTrialOfSlowServerIsHedgedEarly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fm := &farm{sends: map[string][]string{}, behave: func(sv *machine.Server, _ string, _ int) (time.Duration, error) {
+			if sv.Zone == "zone-0" {
+				return 300 * time.Millisecond, nil
+			}
+			return 5 * time.Millisecond, nil
+		}}
+		terms := gatherTerms()
+		terms.Goal = 300 * time.Millisecond
+		jb := newJob(time.Now(), 1, terms, &limited{left: 10})
+		for at := range 200 {
+			jb.Latency.Record(5 * time.Millisecond)
+			if at%10 == 0 {
+				jb.Latency.Record(70 * time.Millisecond)
+			}
+		}
+		jb.Latency.Publish()
+		for _, sv := range jb.Shards[0].Replicas {
+			sv.State.Succeeded(time.Now(), 20*time.Millisecond, 25)
+		}
+		jb.Shards[0].Replicas[0].State.LatencyNanos.Store(int64(90 * time.Millisecond))
+		time.Sleep(5 * time.Second)
+		for _, sv := range jb.Shards[0].Replicas[1:] {
+			sv.State.Succeeded(time.Now(), 20*time.Millisecond, 25)
+		}
+		startedAt := time.Now()
+		jb.AnswerBy = startedAt.Add(time.Second)
+		rs := newEngine(fm).Run(t.Context(), jb)
+		assert.Equal(t, fm.sends["shard-00"][0], "sv-00-0", "the slow server is tried")
+		assert.Equal(t, rs.Answered(), 1)
+		assert.Equal(t, rs.Hedges, 1)
+		assert.Assert(t, time.Since(startedAt) < 20*time.Millisecond, "%s", time.Since(startedAt))
+	})
+}
--- a/internal/query/scatter/gather.go
+++ b/internal/query/scatter/gather.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"daisystage.example/daisystage/internal/world/contract"
+	"daisystage.example/daisystage/internal/world/link"
 	"daisystage.example/daisystage/internal/world/machine"
 )
 
@@ -28,6 +29,8 @@
 	hedges     int
 	hedgeAfter time.Duration
 	hedging    bool
+	// recent are the latencies of such parts.
+	recent link.Quantiles
 	// expected is set when the hedges of the parts that are left were moved.
 	expected bool
 	// wakeAt ends the wait for a canary; zero if there is none.
@@ -46,6 +49,10 @@
 // again because its link was silent.
 const silentRetries = 3
 
+// trialMargin is added to the median latency for the hedge of a part that tries a
+// slow server again: the spread between a zone's servers.
+const trialMargin = 5 * time.Millisecond
+
 // coverageSlack keeps a share such as 0.9 of 10 shards from being rounded up.
 const coverageSlack = 1e-9
 
@@ -95,7 +102,8 @@
 	}
 	// Attempts are bounded, so that none ever blocks on this.
 	ga.results = make(chan result[A], most)
-	ga.hedgeAfter, ga.hedging = en.Hedges.After(jb.Terms, jb.Latency.Recent())
+	ga.recent = jb.Latency.Recent()
+	ga.hedgeAfter, ga.hedging = en.Hedges.After(jb.Terms, ga.recent)
 	ga.hedging = ga.hedging && jb.Terms.Idempotent
 	return ga
 }
@@ -199,6 +207,9 @@
 		ga.giveUp(at, contract.CauseNoReplica)
 		return
 	}
+	if ga.recent.Count > 0 && sv.State.OnTrial(now, ga.recent.P50+trialMargin) {
+		pt.hedgeAt = now.Add(min(ga.hedgeAfter, ga.recent.P50+trialMargin))
+	}
 	ga.primaries++
 	ga.send(ctx, now, at, sv, false)
 }
--- a/internal/query/scatter/policy.go
+++ b/internal/query/scatter/policy.go
@@ -1,6 +1,7 @@
 package scatter
 
 import (
+	"slices"
 	"time"
 
 	"daisystage.example/daisystage/internal/world/contract"
@@ -53,7 +54,7 @@
 
 // LeastExpected chooses the replica that is expected to answer first, by the way
 // there, its latency and its work. Servers that failed a short while ago come
-// last; for a second attempt other zones come first.
+// last, unless the others are full; for a second attempt other zones come first.
 type LeastExpected struct{}
 
 // unknownLatency stands in for the latency of a server that has not answered
@@ -63,7 +64,11 @@
 // Choose returns the replica with the least expected time, the first by name on
 // a tie.
 func (LeastExpected) Choose(now time.Time, own zone.Zone, candidates []*machine.Server, avoid string) *machine.Server {
-	candidates = preferred(candidates, func(sv *machine.Server) bool { return !sv.State.Suspect(now) })
+	full := !slices.ContainsFunc(candidates, func(sv *machine.Server) bool { return !sv.State.Suspect(now) && sv.HasRoom(now) })
+	candidates = preferred(candidates, func(sv *machine.Server) bool {
+		// While all others are full, one part at a time tries a server that failed.
+		return !sv.State.Suspect(now) || full && sv.State.InFlight.Load() == 0
+	})
 	if avoid != "" {
 		candidates = preferred(candidates, func(sv *machine.Server) bool { return sv.Zone != avoid })
 	}
--- a/internal/world/machine/place_test.go
+++ b/internal/world/machine/place_test.go
@@ -85,10 +85,10 @@
 			sheds.State.Succeeded(at, 8*time.Millisecond, 25)
 		}
 	}
-	assert.Equal(t, steady.State.RejectShare(at), int64(0))
-	share := sheds.State.RejectShare(at)
+	assert.Equal(t, steady.State.MissShare(at), int64(0))
+	share := sheds.State.MissShare(at)
 	assert.Assert(t, share > 350 && share < 850, "share %d", share)
 	assert.Assert(t, sheds.Expected(at, time.Millisecond) > 2*steady.Expected(at, time.Millisecond))
 	// What it did fades, so that it is tried again.
-	assert.Assert(t, sheds.State.RejectShare(at.Add(20*time.Second)) < 30, fmt.Sprint(sheds.State.RejectShare(at.Add(20*time.Second))))
+	assert.Assert(t, sheds.State.MissShare(at.Add(20*time.Second)) < 30, fmt.Sprint(sheds.State.MissShare(at.Add(20*time.Second))))
 }
--- /dev/null
+++ b/internal/world/machine/state_test.go
@@ -0,0 +1,110 @@
+package machine
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"daisystage.example/daisystage/internal/world/contract"
+)
+
+func newServer(name string) *Server {
+	return &Server{Name: name, Slots: 2, ConnectionLimit: 25, State: &ServerState{}}
+}
+
+func TestAnswerEndsSuspicion(t *testing.T) {
+	const took = 5 * time.Millisecond
+	tests := []struct {
+		name string
+		act  func(sv *Server)
+		// at is after the failure.
+		at      time.Duration
+		suspect bool
+	}{
+		{"no answer since", func(*Server) {}, time.Second, true},
+		{"the time is over", func(*Server) {}, suspectTime, false},
+		{"a later part was answered", func(sv *Server) {
+			sv.State.Succeeded(now.Add(100*time.Millisecond), took, 25)
+		}, time.Second, false},
+		{"a part that was sent before was answered", func(sv *Server) {
+			sv.State.Succeeded(now.Add(time.Millisecond), took, 25)
+		}, time.Second, true},
+		{"its record vanished, and it answers", func(sv *Server) {
+			sv.State.Lapse(now.Add(2 * time.Second))
+			sv.State.Succeeded(now.Add(100*time.Millisecond), took, 25)
+		}, time.Second, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			sv := newServer("a")
+			sv.State.Ended(now, took, contract.CauseLinkReset)
+			tt.act(sv)
+			assert.Equal(t, sv.State.Suspect(now.Add(tt.at)), tt.suspect)
+		})
+	}
+}
+
+// TestStragglerIsToldFromPause cuts answers as hedges do: all those of one
+// pause, or those of a server that never answers in time.
+func TestStragglerIsToldFromPause(t *testing.T) {
+	const usual, cutAfter = 5 * time.Millisecond, 45 * time.Millisecond
+	pauses, lags := newServer("pauses"), newServer("lags")
+	for _, sv := range []*Server{pauses, lags} {
+		sv.State.Succeeded(now, usual, 25)
+	}
+	at := now
+	for range 4 {
+		at = at.Add(25 * time.Millisecond)
+		pauses.State.Ended(at, cutAfter, contract.CauseCanceled)
+	}
+	pauses.State.Succeeded(at, usual, 25)
+	at = now
+	for range 12 {
+		at = at.Add(200 * time.Millisecond)
+		lags.State.Ended(at, cutAfter, contract.CauseCanceled)
+	}
+	assert.Assert(t, time.Duration(pauses.State.LatencyNanos.Load()) < 25*time.Millisecond)
+	assert.Assert(t, time.Duration(lags.State.LatencyNanos.Load()) > 40*time.Millisecond)
+}
+
+func TestRoomIsOwnWorkFirst(t *testing.T) {
+	tests := []struct {
+		name            string
+		inFlight, limit int64
+		reported        int
+		reportAge       time.Duration
+		hasRoom         bool
+	}{
+		{"below the limit", 1, 2, 5, 0, true},
+		{"at the limit, slots are free", 1, 1, 0, 0, true},
+		{"at the limit, the report is old", 1, 1, 0, time.Minute, false},
+		{"far above the limit, and said to be free a while ago", 40, 2, 0, time.Second, false},
+	}
+	for _, tt := range tests {
+		sv := newServer("a")
+		sv.State.InFlight.Store(tt.inFlight)
+		sv.State.Limit.Store(tt.limit * limitUnit)
+		sv.State.Reported(now.Add(-tt.reportAge), tt.reported)
+		assert.Equal(t, sv.HasRoom(now), tt.hasRoom, tt.name)
+	}
+}
+
+// TestFailingServerCostsMore has one server fail half of its parts at once,
+// which must not make it look fast.
+func TestFailingServerCostsMore(t *testing.T) {
+	for _, cause := range []contract.Cause{contract.CauseServerError, contract.CauseMismatched, contract.CauseLinkBroken} {
+		steady, failing := newServer("steady"), newServer("failing")
+		at := now
+		for i := range 40 {
+			at = at.Add(50 * time.Millisecond)
+			steady.State.Succeeded(at, 8*time.Millisecond, 25)
+			if i%2 == 0 {
+				failing.State.Ended(at, time.Millisecond, cause)
+			} else {
+				failing.State.Succeeded(at, 8*time.Millisecond, 25)
+			}
+		}
+		assert.Assert(t, failing.Expected(at, time.Millisecond) > 2*steady.Expected(at, time.Millisecond), "%s", cause)
+	}
+}
--- a/internal/world/view/fleet.go
+++ b/internal/world/view/fleet.go
@@ -94,7 +94,7 @@
 		if _, ok := fl.lapsed[name]; !ok {
 			fl.lapsed = cloned(fl.lapsed)
 			fl.lapsed[name] = keepUntil
-			sv.State.SuspectUntil.Store(keepUntil.UnixNano())
+			sv.State.Lapse(keepUntil)
 		}
 		return fl
 	}
