--- a/internal/peer/entry/cluster_test.go
+++ b/internal/peer/entry/cluster_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"runtime"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -201,3 +202,30 @@
 	}
 	return count
 }
+
+// TestPullBringsOnlyWhatIsMissing has two copies with 200 objects in common, of
+// which one missed an early one: the objects that both have don't travel.
+func TestPullBringsOnlyWhatIsMissing(t *testing.T) {
+	mm, all := newClusters(2)
+	missed := int64(40)
+	for version := int64(1); version <= 200; version++ {
+		ob := settingObject(version, "300ms")
+		path := fmt.Sprintf("%s-%d", ob.Key, version)
+		ob.Key, ob.Value = path, strings.Replace(ob.Value, ob.Key, path, 1)
+		apply(all[0], ob)
+		if version != missed {
+			apply(all[1], ob)
+		}
+	}
+	whole := int64(0)
+	for _, ob := range all[0].Replica.Current().After(0, nil) {
+		whole += int64(len(ob.Key) + len(ob.Value))
+	}
+	rounds := 0
+	for ; all[1].Replica.Current().Digest != all[0].Replica.Current().Digest; rounds++ {
+		assert.Assert(t, rounds < 6, "the copies still differ")
+		all[1].round(t.Context())
+	}
+	assert.Assert(t, rounds > 0)
+	assert.Assert(t, mm.bytes.Load() < whole/4, "%d bytes of %d", mm.bytes.Load(), whole)
+}
--- a/internal/peer/entry/sync.go
+++ b/internal/peer/entry/sync.go
@@ -60,7 +60,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), pullTimeout)
 	defer cancel()
-	pulled, err := cr.Transport.Pull(ctx, address, &entrypb.PullRequest{After: after})
+	pulled, err := cr.Transport.Pull(ctx, address, &entrypb.PullRequest{After: after, Have: cr.Replica.Current().Digests(after)})
 	if err != nil {
 		events.PeerFailed.Log(cr.Log, zap.String("address", address), zap.Error(err))
 		return false
@@ -86,7 +86,7 @@
 func (cr *Cluster) HandlePull(rq *entrypb.PullRequest) *entrypb.PullReply {
 	cp := cr.Replica.Current()
 	reply := &entrypb.PullReply{Version: cp.Version}
-	for _, ob := range cp.After(rq.After) {
+	for _, ob := range cp.After(rq.After, rq.Have) {
 		reply.Objects = append(reply.Objects, &entrypb.Object{
 			Key: ob.Key, Version: ob.Version, Value: ob.Value, Deleted: ob.Deleted,
 		})
--- a/internal/world/view/copy.go
+++ b/internal/world/view/copy.go
@@ -75,11 +75,27 @@
 	})
 }
 
-// After returns the objects that are newer than a version.
-func (cp *Copy) After(version int64) []Object {
-	var objects []Object
+// Digests returns the digests of the objects that are newer than a version.
+func (cp *Copy) Digests(version int64) []uint64 {
+	var digests []uint64
 	for _, ob := range cp.Objects.All() {
 		if ob.Version > version {
+			digests = append(digests, objectHash(ob))
+		}
+	}
+	return digests
+}
+
+// After returns the objects that are newer than a version, but for those with
+// one of some digests.
+func (cp *Copy) After(version int64, but []uint64) []Object {
+	known := make(map[uint64]bool, len(but))
+	for _, digest := range but {
+		known[digest] = true
+	}
+	var objects []Object
+	for _, ob := range cp.Objects.All() {
+		if ob.Version > version && (len(but) == 0 || !known[objectHash(ob)]) {
 			objects = append(objects, ob)
 		}
 	}
--- a/internal/world/view/fleet_test.go
+++ b/internal/world/view/fleet_test.go
@@ -138,10 +138,10 @@
 		}
 		assert.Equal(t, got.Digest, want.Digest)
 		var pulled Copy
-		for _, ob := range pulled.Newer(got.After(0)) {
+		for _, ob := range pulled.Newer(got.After(0, nil)) {
 			pulled, _, _ = pulled.With(ob)
 		}
 		assert.Equal(t, pulled.Digest, want.Digest)
-		assert.Equal(t, len(want.Newer(got.After(0))), 0)
+		assert.Equal(t, len(want.Newer(got.After(0, nil))), 0)
 	}
 }
