Take a reset new link for a full server, and open few links while young

Change: such a reset is checked by a new connection, and no further link is opened for 2 s; until three rounds of heartbeats have passed a process counts on 8 others and opens no links in advance.

--- a/internal/node/forwardvm/process.go
+++ b/internal/node/forwardvm/process.go
@@ -162,6 +162,7 @@
 	var endBackend func()
 	ps.Backend, endBackend = backend.New(dial)
 	ps.group.Cleanup(endBackend)
+	ps.Backend.SetEntryVMs(unheardVMs)
 	var endMetrics func()
 	ps.Metrics, endMetrics = metrics.New(cg.Name, cg.Zone)
 	ps.group.Cleanup(endMetrics)
--- a/internal/node/forwardvm/upkeep.go
+++ b/internal/node/forwardvm/upkeep.go
@@ -166,7 +166,7 @@
 	ps.carries.Store(carries)
 	retries := ps.settings.Load().Retries
 	switch {
-	case len(carriers) == 0 || len(carriers) >= live:
+	case ps.isYoung(now) || len(carriers) == 0 || len(carriers) >= live:
 		ps.Backend.SetShare(backend.Share{EntryVMs: live})
 		ps.Service.Budgets.SetShare(retries, live)
 	case carries:
@@ -195,7 +195,7 @@
 	for _, name := range fl.Table.Targets() {
 		inUse := ps.Service.Budgets.InUse(now, name)
 		for _, sv := range fl.Live(name) {
-			if inUse || ps.Backend.ShareOf(sv) >= wideShare {
+			if inUse || ps.Backend.ShareOf(sv) >= wideShare && !ps.isYoung(now) {
 				servers = append(servers, sv)
 			}
 		}
@@ -211,5 +211,22 @@
 			count++
 		}
 	}
+	if ps.isYoung(now) {
+		count = max(count, unheardVMs)
+	}
 	return max(count, len(ps.settings.Load().Peers))
 }
+
+const (
+	// youngFor is the time after the start in which other entry VMs may be
+	// unheard: three rounds of heartbeats.
+	youngFor = 3 * machine.HeartbeatEvery
+	// unheardVMs is the number of entry VMs to assume meanwhile: today's users
+	// have 6 to 9.
+	unheardVMs = 9
+)
+
+// isYoung reports whether the process may not know the other entry VMs yet.
+func (ps *Process) isYoung(now time.Time) bool {
+	return now.Sub(ps.startedAt) < youngFor
+}
--- a/internal/peer/backend/client.go
+++ b/internal/peer/backend/client.go
@@ -252,7 +252,14 @@
 	if cause == contract.CauseLinkBroken && errors.Is(err, syscall.ETIMEDOUT) {
 		cause = contract.CauseLinkSilent
 	}
-	if cause == contract.CauseLinkBroken && cl.answers(ctx, pl, pb) {
+	switch {
+	case cause != contract.CauseLinkBroken:
+	case cn.isUnused() && errors.Is(err, syscall.ECONNRESET):
+		if pl.accepts(ctx, cn.OpenedAt) {
+			cause = contract.CauseLinkReset
+			pl.full(time.Now())
+		}
+	case cl.answers(ctx, pl, pb):
 		cause = contract.CauseLinkReset
 	}
 	return &contract.PartError{Cause: cause, NotRun: !written, Err: err}
@@ -269,6 +276,25 @@
 	return cl.probeFresh(ctx, pl, pb) == nil
 }
 
+// accepts reports whether a server takes new connections, or answered on a link
+// since a time, so that the reset of a new one tells of its connection limit and
+// not of its loss.
+func (pl *pool) accepts(ctx context.Context, since time.Time) bool {
+	if pl.lastRead.Load() > since.UnixNano() {
+		return true
+	}
+	// The place of the link that was reset is free.
+	pl.open.Add(1)
+	ctx, cancel := context.WithTimeout(ctx, lostTimeout)
+	defer cancel()
+	cn, err := pl.connect(ctx)
+	if err != nil {
+		return false
+	}
+	pl.discard(cn)
+	return true
+}
+
 // probeFresh probes a server on a new link, in a place taken with tryOpen, and
 // keeps the link.
 func (cl *Client) probeFresh(ctx context.Context, pl *pool, pb probe) error {
--- a/internal/peer/backend/conn.go
+++ b/internal/peer/backend/conn.go
@@ -80,6 +80,11 @@
 	return count, err
 }
 
+// isUnused reports whether no byte ever came on the link.
+func (cn *conn) isUnused() bool {
+	return cn.LastRead.Load() == 0
+}
+
 func (cn *conn) close() {
 	_ = cn.raw.Close()
 }
--- a/internal/peer/backend/pool.go
+++ b/internal/peer/backend/pool.go
@@ -20,6 +20,9 @@
 	// probes, if the share has room for it.
 	probeReserve = 1
 	smallShare   = 3
+	// fullTime is how long no further link is opened to a server that reset a new
+	// one: other entry VMs give links up within two rounds of heartbeats.
+	fullTime = 2 * time.Second
 )
 
 // DialFunc makes a connection to an address.
@@ -37,6 +40,10 @@
 	open atomic.Int64
 	// share is the most links that this process may have.
 	share atomic.Int64
+	// kept is the number of links that the server left open when it last reset a
+	// new one, and fullUntil the time until which there are no more, in Unix
+	// nanoseconds.
+	kept, fullUntil atomic.Int64
 	// condemnedBefore is the time before which opened links are not used, in
 	// Unix nanoseconds.
 	condemnedBefore atomic.Int64
@@ -61,7 +68,7 @@
 		if cn := pl.takeIdle(time.Now()); cn != nil {
 			return cn, nil
 		}
-		if pl.tryOpen(pl.trafficShare()) {
+		if pl.tryOpen(pl.trafficShare(time.Now())) {
 			return pl.connect(ctx)
 		}
 		select {
@@ -75,14 +82,25 @@
 	}
 }
 
-func (pl *pool) trafficShare() int64 {
+// trafficShare is the most links for requests.
+func (pl *pool) trafficShare(now time.Time) int64 {
 	share := pl.share.Load()
 	if share >= smallShare {
 		share -= probeReserve
 	}
+	if now.UnixNano() < pl.fullUntil.Load() {
+		share = min(share, pl.kept.Load())
+	}
 	return share
 }
 
+// full records that the server reset a new link, since it has as many as it
+// accepts.
+func (pl *pool) full(now time.Time) {
+	pl.kept.Store(max(pl.open.Load(), 1))
+	pl.fullUntil.Store(now.Add(fullTime).UnixNano())
+}
+
 // takeIdle returns an unused link if there is one.
 func (pl *pool) takeIdle(now time.Time) *conn {
 	for {
@@ -111,10 +129,14 @@
 	if !pl.usable(now, cn) {
 		return false
 	}
-	if hasNothingToRead(cn.raw) {
+	found := signOf(cn.raw)
+	if found == signQuiet {
 		return true
 	}
 	pl.discard(cn)
+	if found == signReset && cn.isUnused() {
+		pl.full(now)
+	}
 	return false
 }
 
@@ -196,7 +218,7 @@
 // warm opens a link in advance if none is unused, so that a request that comes
 // next does not wait for it. It does not wait itself.
 func (pl *pool) warm(ctx context.Context) {
-	if len(pl.idle) > 0 || !pl.tryOpen(pl.trafficShare()) {
+	if len(pl.idle) > 0 || !pl.tryOpen(pl.trafficShare(time.Now())) {
 		return
 	}
 	go func() {
