Tell why a late part was not hedged; play the loss of all large VMs

A part whose hedge found the budget spent or the other servers full says so in its record. TestPlaceThroughLossOfAllLarge plays the placement without a network.

--- a/internal/query/scatter/gather.go
+++ b/internal/query/scatter/gather.go
@@ -338,6 +338,7 @@
 func (ga *gather[R, H, M, A]) accept(now time.Time, rs result[A], winner attempt) {
 	pt := &ga.parts[rs.part]
 	pt.Answer, pt.Answered, pt.Failed = rs.answer, true, false
+	pt.Record.Why = ""
 	ga.answered++
 	ga.expectRest(now, now.Sub(pt.startedAt))
 	pt.Record.Server = winner.server.Name
--- a/internal/query/scatter/retry.go
+++ b/internal/query/scatter/retry.go
@@ -84,15 +84,17 @@
 		sv := ga.choose(now, pt, pt.open[0].server.Zone)
 		if sv == nil || !sv.HasRoom(now) {
 			// Full replicas may be overload, where a hedge does harm.
+			pt.Record.Why = contract.WhyNoRoom
 			pt.hedgeAt = now.Add(max(ga.hedgeAfter/2, minHedgeWait))
 			continue
 		}
 		if !pt.shard.Budget.TryHedge(now, ga.decides()) {
 			// A hedge that comes later takes the budget of one that is in time.
 			pt.unhedged = true
+			pt.Record.Why = contract.WhyBudget
 			continue
 		}
-		pt.Record.Hedges = 1
+		pt.Record.Hedges, pt.Record.Why = 1, ""
 		ga.hedges++
 		ga.send(ctx, now, i, sv, true)
 	}
--- a/internal/world/contract/receipt.go
+++ b/internal/world/contract/receipt.go
@@ -49,6 +49,7 @@
 	WhySuspect    Why = "suspect_request"
 	WhyNoReplica  Why = "no_replica_left"
 	WhyBudget     Why = "budget_spent"
+	WhyNoRoom     Why = "replicas_full"
 )
 
 // SettingRef names the revision that a request ran under.
--- a/internal/world/machine/place_test.go
+++ b/internal/world/machine/place_test.go
@@ -92,3 +92,62 @@
 	// What it did fades, so that it is tried again.
 	assert.Assert(t, sheds.State.MissShare(at.Add(20*time.Second)) < 30, fmt.Sprint(sheds.State.MissShare(at.Add(20*time.Second))))
 }
+
+// TestPlaceThroughLossOfAllLarge plays a zone with few large and many small VMs
+// under a steady load, loses all large ones at once and brings them back. A
+// caller that kept its own VM would use all of them.
+func TestPlaceThroughLossOfAllLarge(t *testing.T) {
+	const (
+		large, small = 3, 12
+		// load is in parts a second, of the zone.
+		load   = 2400
+		lostAt = 10 * time.Second
+		backAt = 30 * time.Second
+		end    = 45 * time.Second
+	)
+	var vms []EntryVM
+	for at := range large + small {
+		cores, kind := 0.192, "small"
+		if at < large {
+			cores, kind = 0.8, "large"
+		}
+		one := vm(fmt.Sprintf("%s-%02d", kind, at), "a", "")
+		one.Capacity = CapacityOf(cores, 200)
+		vms = append(vms, one)
+	}
+	for after := time.Duration(0); after < end; after += HeartbeatEvery {
+		at := now.Add(after)
+		lost := after >= lostAt && after < backAt
+		for i := range vms {
+			if i >= large || !lost {
+				vms[i].HeardAt = at
+			}
+		}
+		offered := Place(at, "a", vms)
+		carried, larges := uint64(0), 0
+		for i := range vms {
+			vms[i].Load = 0
+		}
+		for _, vm := range offered {
+			assert.Assert(t, vm.IsReady(at), "%s: %s is offered", after, vm.Name)
+			carried += uint64(vm.Capacity)
+			if vm.Capacity > CapacityOf(0.5, 200) {
+				larges++
+			}
+			for i := range vms {
+				if vms[i].Name == vm.Name {
+					vms[i].Load = uint32(load / len(offered))
+				}
+			}
+		}
+		assert.Assert(t, carried >= load, "%s: %d parts a second carried", after, carried)
+		switch {
+		case !lost:
+			assert.Equal(t, larges, large, "%s", after)
+			assert.Assert(t, len(offered) <= large+1, "%s: %d VMs keep links to servers", after, len(offered))
+		case after > lostAt+SilentPeer:
+			assert.Equal(t, larges, 0, "%s", after)
+			assert.Assert(t, len(offered) < small, "%s: %d VMs keep links to servers", after, len(offered))
+		}
+	}
+}
