--- a/internal/node/forwardvm/config.go
+++ b/internal/node/forwardvm/config.go
@@ -13,9 +13,8 @@
 // Config is what a process is started with.
 type Config struct {
 	// Name is unique among the entry VMs.
-	Name   string
-	Zone   string
-	Region string
+	Name string
+	Zone string
 	// The addresses are of this VM, with ports: callers connect to
 	// CallerAddress, health checks to ReadyAddress, callers that ask where to
 	// connect to DirectoryAddress and peers to EntryAddress.
@@ -30,8 +29,7 @@
 	// PlatformAddress is a host and a port.
 	PlatformAddress string
 	// Cores is the processor time of this VM in cores.
-	Cores    float64
-	MemoryMB int
+	Cores float64
 	// LinkMbps is the speed of this VM's link in megabits a second; 0 if it is
 	// not known.
 	LinkMbps float64
--- a/internal/query/forward/budgets.go
+++ b/internal/query/forward/budgets.go
@@ -34,7 +34,7 @@
 }
 
 // Of returns the budget of a service.
-func (bg *Budgets) Of(_ time.Time, service string) *contract.ServiceBudget {
+func (bg *Budgets) Of(service string) *contract.ServiceBudget {
 	if value, ok := bg.services.Load(service); ok {
 		return value.(*contract.ServiceBudget)
 	}
--- a/internal/query/forward/forward.go
+++ b/internal/query/forward/forward.go
@@ -216,7 +216,7 @@
 		AnswerBy: rn.answerBy,
 	}
 	for i, name := range services {
-		budget := sv.Budgets.Of(now, name)
+		budget := sv.Budgets.Of(name)
 		budget.Request(now)
 		jb.Shards[i] = scatter.Shard{Name: name, Replicas: rn.fleet.Live(name), Budget: budget}
 	}
--- a/internal/world/view/bench_test.go
+++ b/internal/world/view/bench_test.go
@@ -4,6 +4,9 @@
 	"fmt"
 	"runtime"
 	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
 
 	"daisystage.example/daisystage/internal/world/contract"
 )
@@ -94,3 +97,33 @@
 		}
 	}
 }
+
+// BenchmarkListServers takes in a list of servers at once, and one by one as
+// changes come.
+func BenchmarkListServers(b *testing.B) {
+	for _, count := range []int{100, 700, 5000} {
+		objects := make([]Object, count)
+		for at := range count {
+			objects[at] = serverObject(at, int64(at+1))
+			objects[at].Key = PrefixMembers + fmt.Sprintf("svc%04d-%05d", at/30, at)
+		}
+		b.Run(fmt.Sprintf("at once, servers=%d", count), func(b *testing.B) {
+			for b.Loop() {
+				fl, refused := Fleet{}.Apply(time.Now(), 0, plainCodec{}, objects)
+				assert.Equal(b, len(refused)+len(fl.Servers), count)
+			}
+		})
+		if count > 700 {
+			continue
+		}
+		b.Run(fmt.Sprintf("one by one, servers=%d", count), func(b *testing.B) {
+			for b.Loop() {
+				fl := Fleet{}
+				for at := range objects {
+					fl, _ = fl.Apply(time.Now(), 0, plainCodec{}, objects[at:at+1])
+				}
+				assert.Equal(b, len(fl.Servers), count)
+			}
+		})
+	}
+}
--- a/internal/world/view/fleet.go
+++ b/internal/world/view/fleet.go
@@ -34,16 +34,61 @@
 // WithTable returns a fleet with a table in force, if it is newer than the one
 // that is.
 func (fl Fleet) WithTable(tb *contract.Table) Fleet {
-	if fl.Table != nil && tb.Version <= fl.Table.Version {
-		return fl
+	return fl.with(func(dr *draft) { dr.setTable(tb) })
+}
+
+// WithServer returns a fleet that takes in the record of a server. A record of
+// an earlier start, or one that takes back that the server leaves, changes
+// nothing.
+func (fl Fleet) WithServer(sv machine.Server) Fleet {
+	return fl.with(func(dr *draft) { dr.setServer(sv) })
+}
+
+// WithoutServer returns a fleet without a server, at once if it leaves. Another
+// one is kept, as the last choice, until a time: its record may have lapsed
+// while it lives.
+func (fl Fleet) WithoutServer(now time.Time, name string, keepUntil time.Time) Fleet {
+	return fl.with(func(dr *draft) { dr.dropServer(now, name, keepUntil) })
+}
+
+// with returns the fleet with changes made to a draft of it.
+func (fl Fleet) with(change func(dr *draft)) Fleet {
+	dr := &draft{Fleet: fl}
+	change(dr)
+	return dr.done()
+}
+
+// draft is a fleet that is being changed: its maps are copied once for any
+// number of changes.
+type draft struct {
+	Fleet
+	// owned is set when Servers and lapsed are copies.
+	owned bool
+}
+
+func (dr *draft) own() {
+	if !dr.owned {
+		dr.Servers, dr.lapsed, dr.owned = cloned(dr.Servers), cloned(dr.lapsed), true
 	}
-	fl.Table = tb
-	servers := maps.Clone(fl.Servers)
-	for name, sv := range servers {
-		servers[name] = withLimit(sv, tb)
+}
+
+// done returns the fleet, with its servers by service.
+func (dr *draft) done() Fleet {
+	if !dr.owned {
+		return dr.Fleet
+	}
+	return dr.Fleet.indexed()
+}
+
+func (dr *draft) setTable(tb *contract.Table) {
+	if dr.Table != nil && tb.Version <= dr.Table.Version {
+		return
+	}
+	dr.own()
+	dr.Table = tb
+	for name, sv := range dr.Servers {
+		dr.Servers[name] = withLimit(sv, tb)
 	}
-	fl.Servers = servers
-	return fl.indexed()
 }
 
 // withLimit returns the server with the connection limit of its service.
@@ -57,51 +102,42 @@
 	return &changed
 }
 
-// WithServer returns a fleet that takes in the record of a server. A record of
-// an earlier start, or one that takes back that the server leaves, changes
-// nothing.
-func (fl Fleet) WithServer(sv machine.Server) Fleet {
-	old := fl.Servers[sv.Name]
+func (dr *draft) setServer(sv machine.Server) {
+	old := dr.Servers[sv.Name]
 	if old != nil && old.StartedAt == sv.StartedAt {
 		sv.State = old.State
 		sv.Leaving = sv.Leaving || old.Leaving
 	}
 	if old != nil && sv.StartedAt.Before(old.StartedAt) {
-		return fl
+		return
 	}
 	if sv.State == nil {
 		sv.State = &machine.ServerState{}
 	}
-	if fl.Table != nil {
-		sv = *withLimit(&sv, fl.Table)
+	if dr.Table != nil {
+		sv = *withLimit(&sv, dr.Table)
 	}
-	fl.Servers = cloned(fl.Servers)
-	fl.Servers[sv.Name] = &sv
-	fl.lapsed = cloned(fl.lapsed)
-	delete(fl.lapsed, sv.Name)
-	return fl.indexed()
+	dr.own()
+	dr.Servers[sv.Name] = &sv
+	delete(dr.lapsed, sv.Name)
 }
 
-// WithoutServer returns a fleet without a server, at once if it leaves. Another
-// one is kept, as the last choice, until a time: its record may have lapsed
-// while it lives.
-func (fl Fleet) WithoutServer(now time.Time, name string, keepUntil time.Time) Fleet {
-	sv := fl.Servers[name]
+func (dr *draft) dropServer(now time.Time, name string, keepUntil time.Time) {
+	sv := dr.Servers[name]
 	if sv == nil {
-		return fl
+		return
 	}
-	if keepUntil.After(now) && !sv.Leaving {
-		if _, ok := fl.lapsed[name]; !ok {
-			fl.lapsed = cloned(fl.lapsed)
-			fl.lapsed[name] = keepUntil
-			sv.State.Lapse(keepUntil)
-		}
-		return fl
+	if !keepUntil.After(now) || sv.Leaving {
+		dr.own()
+		delete(dr.Servers, name)
+		delete(dr.lapsed, name)
+		return
+	}
+	if _, ok := dr.lapsed[name]; !ok {
+		dr.own()
+		dr.lapsed[name] = keepUntil
+		sv.State.Lapse(keepUntil)
 	}
-	fl.Servers, fl.lapsed = cloned(fl.Servers), cloned(fl.lapsed)
-	delete(fl.Servers, name)
-	delete(fl.lapsed, name)
-	return fl.indexed()
 }
 
 // Lapse returns a fleet without the servers whose time is over.
@@ -159,38 +195,41 @@
 // can't be. hold is how long a server is kept whose record vanished.
 func (fl Fleet) Apply(now time.Time, hold time.Duration, codec FleetCodec, objects []Object) (Fleet, []error) {
 	var refused []error
-	for _, ob := range objects {
-		next, err := fl.apply(now, hold, codec, ob)
-		if err != nil {
-			refused = append(refused, fmt.Errorf("object %s: %w", ob.Key, err))
+	next := fl.with(func(dr *draft) {
+		for _, ob := range objects {
+			if err := dr.apply(now, hold, codec, ob); err != nil {
+				refused = append(refused, fmt.Errorf("object %s: %w", ob.Key, err))
+			}
 		}
-		fl = next
-	}
-	return fl, refused
+	})
+	return next, refused
 }
 
-func (fl Fleet) apply(now time.Time, hold time.Duration, codec FleetCodec, ob Object) (Fleet, error) {
-	cp, changed, err := fl.Copy.With(ob)
+func (dr *draft) apply(now time.Time, hold time.Duration, codec FleetCodec, ob Object) error {
+	cp, changed, err := dr.Copy.With(ob)
 	if err != nil || !changed {
-		return fl, err
+		return err
 	}
-	fl.Copy = cp
+	dr.Copy = cp
 	name, isServer := strings.CutPrefix(ob.Key, PrefixMembers)
 	switch {
 	case isServer && ob.Deleted:
-		return fl.WithoutServer(now, name, now.Add(hold)), nil
+		dr.dropServer(now, name, now.Add(hold))
+		return nil
 	case isServer:
 		sv, err := codec.Server(now, name, ob.Value)
 		if err != nil {
-			return fl, err
+			return err
 		}
-		return fl.WithServer(sv), nil
+		dr.setServer(sv)
+		return nil
 	case ob.Deleted:
-		return fl, nil
+		return nil
 	}
 	tb, err := codec.Table(ob.Value)
 	if err != nil {
-		return fl, err
+		return err
 	}
-	return fl.WithTable(tb), nil
+	dr.setTable(tb)
+	return nil
 }
--- a/internal/world/view/fleet_test.go
+++ b/internal/world/view/fleet_test.go
@@ -145,3 +145,49 @@
 		assert.Equal(t, len(want.Newer(got.After(0, nil))), 0)
 	}
 }
+
+// TestApplyAtOnceSameAsOneByOne takes random changes in both ways.
+func TestApplyAtOnceSameAsOneByOne(t *testing.T) {
+	rd := rand.New(rand.NewPCG(7, 11))
+	now := time.Unix(1_000_000, 0)
+	const hold = 2 * time.Second
+	atOnce, oneByOne := Fleet{}, Fleet{}
+	version := int64(0)
+	for range 200 {
+		var batch []Object
+		for range 1 + rd.IntN(6) {
+			version++
+			name := fmt.Sprintf("sv-%d", rd.IntN(8))
+			ob := Object{Key: PrefixMembers + name, Version: version - rd.Int64N(3), Deleted: rd.IntN(4) == 0}
+			ob.Value = fmt.Sprintf(`{"name":%q,"service":"plans","zone":"a","address":"10.0.0.%d:1","slots":2,"leaving":%t}`, name, rd.IntN(9), rd.IntN(5) == 0)
+			switch rd.IntN(12) {
+			case 0:
+				ob.Value = "{"
+			case 1:
+				ob = Object{Key: PrefixTable + "main", Version: version, Value: fmt.Sprintf("version %d", version-rd.Int64N(4))}
+			}
+			batch = append(batch, ob)
+		}
+		now = now.Add(300 * time.Millisecond)
+		atOnce, _ = atOnce.Apply(now, hold, plainCodec{}, batch)
+		for _, ob := range batch {
+			oneByOne, _ = oneByOne.Apply(now, hold, plainCodec{}, []Object{ob})
+		}
+		atOnce, oneByOne = atOnce.Lapse(now), oneByOne.Lapse(now)
+		assert.Equal(t, atOnce.Digest, oneByOne.Digest)
+		assert.DeepEqual(t, summary(atOnce), summary(oneByOne))
+	}
+	assert.Assert(t, len(atOnce.Servers) > 0 && atOnce.Table != nil)
+}
+
+// summary tells of each server what requests depend on.
+func summary(fl Fleet) map[string]string {
+	told := map[string]string{}
+	for service, servers := range fl.Services {
+		for at, sv := range servers {
+			_, lapsed := fl.lapsed[sv.Name]
+			told[fmt.Sprintf("%s %d", service, at)] = fmt.Sprint(sv.Name, sv.Address, sv.Leaving, sv.ConnectionLimit, lapsed)
+		}
+	}
+	return told
+}
