--- a/internal/query/scatter/engine_test.go
+++ b/internal/query/scatter/engine_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -243,7 +244,7 @@
 		sv.State.Failed(now)
 	}
 	for range 20 {
-		sv := LeastExpected{}.Choose(now, zone.Zone{Name: "a"}, append([]*machine.Server(nil), servers...), "")
+		sv := LeastExpected{}.Choose(now, zone.Zone{Name: "a"}, slices.Clone(servers), "")
 		sv.State.InFlight.Add(1)
 	}
 	assert.Equal(t, servers[1].State.InFlight.Load(), int64(1), "one part at a time tries it")
@@ -252,7 +253,7 @@
 	servers[1].State.InFlight.Add(-1)
 	servers[1].State.Succeeded(now.Add(20*time.Millisecond), 5*time.Millisecond, 25)
 	before := late.State.InFlight.Load()
-	sv := LeastExpected{}.Choose(now.Add(20*time.Millisecond), zone.Zone{Name: "a"}, append([]*machine.Server(nil), servers...), "")
+	sv := LeastExpected{}.Choose(now.Add(20*time.Millisecond), zone.Zone{Name: "a"}, slices.Clone(servers), "")
 	assert.Equal(t, sv.Name, "fast-1")
 	assert.Equal(t, late.State.InFlight.Load(), before)
 }
