Offer no entry VM before the platform's first word

Change: until the platform or a peer first gave its word a VM tells version 0, so that neither it nor peers send callers there; an outage later takes nothing back. TestNotOfferedBeforeTheFirstWord fails without.

--- a/internal/peer/entry/cluster.go
+++ b/internal/peer/entry/cluster.go
@@ -49,6 +49,9 @@
 	// from the platform.
 	agreeWithin = 3 * time.Second
 	frozenFor   = view.ConfirmedFor
+	// neverHeard stands for the age of a word that there was not, in
+	// milliseconds: 24 days are longer than any age of use.
+	neverHeard = 1 << 31
 )
 
 // Transport carries messages to one entry VM.
@@ -102,6 +105,8 @@
 	Follows func() bool
 
 	leaving atomic.Bool
+	// heardWord is set for good with the first word of the platform.
+	heardWord atomic.Bool
 	// following is set while a peer is asked for what it has.
 	following atomic.Bool
 	members   *rcu.Value[members]
@@ -134,6 +139,10 @@
 	vw := cr.Replica.Current()
 	vm.HeardAt, vm.Leaving, vm.PlatformAway = now, cr.leaving.Load(), cr.PlatformDown()
 	vm.Version, vm.Digest = vw.Version, vw.Digest
+	if !cr.hasHeardWord() {
+		// It can't answer callers yet, whatever objects it has.
+		vm.Version = 0
+	}
 	if cr.Load != nil {
 		vm.Load = cr.Load()
 	}
@@ -261,16 +270,33 @@
 	return asOf
 }
 
+// hasHeardWord reports whether the platform ever gave its word.
+func (cr *Cluster) hasHeardWord() bool {
+	if !cr.heardWord.Load() && !cr.Word().IsZero() {
+		cr.heardWord.Store(true)
+	}
+	return cr.heardWord.Load()
+}
+
+// wordAge returns the age of the platform's word as told to peers; neverHeard if
+// there was none since the start.
+func (cr *Cluster) wordAge(now time.Time) uint32 {
+	if !cr.hasHeardWord() {
+		return neverHeard
+	}
+	return min(ageOf(now, cr.Word()), neverHeard-1)
+}
+
 // Heartbeat returns the message of this process.
 func (cr *Cluster) Heartbeat(now time.Time) *entrypb.Heartbeat {
-	own := cr.Own(now)
+	own, cp := cr.Own(now), cr.Replica.Current()
 	hb := &entrypb.Heartbeat{
 		Sender:       encodeMember(now, own),
 		Confirmed:    now.Sub(cr.Word()) <= view.ConfirmedFor,
-		ConfirmedMs:  ageOf(now, cr.Word()),
+		ConfirmedMs:  cr.wordAge(now),
 		PlatformDown: cr.PlatformDown(),
-		Version:      own.Version,
-		Digest:       own.Digest,
+		Version:      cp.Version,
+		Digest:       cp.Digest,
 	}
 	hb.Members = sample(now, *cr.members.Load())
 	for print, cs := range cr.Quarantine.Current() {
@@ -334,6 +360,9 @@
 func (cr *Cluster) take(now time.Time, hb *entrypb.Heartbeat) {
 	sender := decodeMember(now, hb.Sender)
 	sender.Version, sender.Digest, sender.PlatformAway = hb.Version, hb.Digest, hb.PlatformDown
+	if hb.ConfirmedMs == neverHeard {
+		sender.Version = 0
+	}
 	told := []machine.EntryVM{sender}
 	for _, mb := range hb.Members {
 		told = append(told, decodeMember(now, mb))
@@ -413,7 +442,7 @@
 }
 
 func ageOf(now, then time.Time) uint32 {
-	return uint32(min(max(now.Sub(then).Milliseconds(), 0), 1<<31))
+	return uint32(min(max(now.Sub(then).Milliseconds(), 0), neverHeard))
 }
 
 func encodeMember(now time.Time, vm machine.EntryVM) *entrypb.Member {
--- a/internal/peer/entry/cluster_test.go
+++ b/internal/peer/entry/cluster_test.go
@@ -229,3 +229,33 @@
 	assert.Assert(t, rounds > 0)
 	assert.Assert(t, mm.bytes.Load() < whole/4, "%d bytes of %d", mm.bytes.Load(), whole)
 }
+
+// TestNotOfferedBeforeTheFirstWord has a process that knows objects and has no
+// word from the platform yet: neither it nor its peers send callers there.
+func TestNotOfferedBeforeTheFirstWord(t *testing.T) {
+	_, all := newClusters(2)
+	young, old := all[0], all[1]
+	apply(young, settingObject(5, "300ms"))
+	apply(old, settingObject(5, "300ms"))
+	old.Confirmation.Heard(time.Now())
+	ready := func(cr *Cluster, name string) bool {
+		for _, vm := range cr.Members(time.Now()) {
+			if vm.Name == name {
+				return vm.IsReady(time.Now())
+			}
+		}
+		return false
+	}
+	// The young one speaks first, so that it is known before it hears anything.
+	old.take(time.Now(), young.Heartbeat(time.Now()))
+	assert.Assert(t, !ready(young, young.Self.Name))
+	assert.Assert(t, !ready(old, young.Self.Name))
+	assert.Assert(t, ready(old, old.Self.Name))
+	young.round(t.Context())
+	assert.Assert(t, ready(young, young.Self.Name), "the peer passed the word on")
+	old.take(time.Now(), young.Heartbeat(time.Now()))
+	assert.Assert(t, ready(old, young.Self.Name))
+	// An outage later takes nothing back.
+	young.Confirmation = &view.Confirmation{}
+	assert.Assert(t, ready(young, young.Self.Name))
+}
