--- a/internal/peer/backend/client.go
+++ b/internal/peer/backend/client.go
@@ -254,7 +254,7 @@
 	}
 	switch {
 	case cause != contract.CauseLinkBroken:
-	case cn.isUnused() && errors.Is(err, syscall.ECONNRESET):
+	case cn.isUnused() && isReset(err):
 		if pl.accepts(ctx, cn.OpenedAt) {
 			cause = contract.CauseLinkReset
 			pl.full(time.Now())
@@ -276,6 +276,12 @@
 	return cl.probeFresh(ctx, pl, pb) == nil
 }
 
+// isReset reports whether the other end reset a connection: a write after the
+// reset tells so in another way than a read.
+func isReset(err error) bool {
+	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
 // accepts reports whether a server takes new connections, or answered on a link
 // since a time, so that the reset of a new one tells of its connection limit and
 // not of its loss.
