Know a full server by a connection that is reset while it is made

Cause: the check whether a server takes connections met the reset while the connection was made, and took it for a lost server, which refuses.

--- a/internal/peer/backend/client.go
+++ b/internal/peer/backend/client.go
@@ -295,7 +295,9 @@
 	defer cancel()
 	cn, err := pl.connect(ctx)
 	if err != nil {
-		return false
+		// A lost server refuses; a full one may reset before the connection is
+		// made.
+		return isReset(err)
 	}
 	pl.discard(cn)
 	return true
