Obey servers that say they are leaving or ask for no requests

Cause: Server-Leaving on an answer was not read, and a 503 with Retry-After was handled like any other rejection. A server whose record still said ready got requests until the record changed, and one that asked for none was asked again by each hedge and retry.

Choice, waiting requests, warming and health checks obey. Departures go to all peers with the heartbeats. A request that can't reach its coverage that way is refused before anything is sent, with the earliest return in Retry-After.

--- a/internal/node/events/events.go
+++ b/internal/node/events/events.go
@@ -51,6 +51,7 @@
 	ServerLostToRequest = Event{402, "server_lost_to_request", zapcore.ErrorLevel}
 	Quarantined         = Event{403, "request_quarantined", zapcore.ErrorLevel}
 	LibraryMessage      = Event{404, "library", zapcore.WarnLevel}
+	ServerBackOff       = Event{405, "server_back_off", zapcore.WarnLevel}
 
 	AnswerPartial = Event{501, "answer_partial", zapcore.WarnLevel}
 	AnswerRefused = Event{502, "answer_refused", zapcore.WarnLevel}
@@ -68,7 +69,7 @@
 		Started, Leaving, Draining, Stopped, Paused, StopCutShort, SettingsReloaded, SettingsNotReloaded,
 		WatchFailed, OlderObjectRefused, BadObjectRefused, StaleStore, ReceiptsDropped, ReceiptsWriteFailed, ClaimsSwept,
 		PeerFailed, PeerJoined, PeerSilent, Isolated, Confirmed, PulledFromPeer,
-		ServerLeaving, ServerLostToRequest, Quarantined, LibraryMessage,
+		ServerLeaving, ServerLostToRequest, Quarantined, LibraryMessage, ServerBackOff,
 		AnswerPartial, AnswerRefused, AnswerUnknown, AnswerWhole,
 		SettingAccepted, SettingRefused, TableInForce,
 	}
--- a/internal/node/forwardvm/process.go
+++ b/internal/node/forwardvm/process.go
@@ -12,6 +12,7 @@
 
 	"go.uber.org/zap"
 	"golang.org/x/sys/unix"
+	"golang.org/x/time/rate"
 	"google.golang.org/grpc"
 
 	"daisystage.example/daisystage/internal/container/rcu"
@@ -122,8 +123,13 @@
 	// carriesCallers is set while this VM is selected for the callers of any zone,
 	// or no VM is selected at all.
 	carriesCallers atomic.Bool
-	servers        []*http.Server
-	grpc           *grpc.Server
+	// departures counts the servers that said that they are leaving, backOffs how
+	// often a server began to ask for no requests; backOffLogs limits the log lines
+	// about the latter.
+	departures, backOffs atomic.Int64
+	backOffLogs          *rate.Limiter
+	servers              []*http.Server
+	grpc                 *grpc.Server
 	// group holds the goroutines and clean-up functions of the process.
 	group lifecycle.Group
 }
@@ -140,6 +146,7 @@
 		Log:          log.With(zap.String("entry_vm", cg.Name), zap.String("zone", cg.Zone)),
 		LogQueue:     queue,
 		startedAt:    now,
+		backOffLogs:  rate.NewLimiter(failedLogRate, failedLogBurst),
 	}
 	ps.build(now, fe)
 	if err := ps.listen(fe); err != nil {
@@ -178,6 +185,7 @@
 	ps.Backend, endBackend = backend.New(dial)
 	ps.group.Cleanup(endBackend)
 	ps.Backend.SetEntryVMs(assumedEntryVMs)
+	ps.Backend.OnDeparture, ps.Backend.OnBackOff = ps.onDeparture, ps.onBackOff
 	var endMetrics func()
 	ps.Metrics, endMetrics = metrics.New(cg.Name, cg.Zone)
 	ps.group.Cleanup(endMetrics)
@@ -197,6 +205,7 @@
 		Load:  ps.load.Load,
 		Seeds: cg.Peers, Transport: transport, Replica: ps.target, Confirmation: ps.Confirmation, Quarantine: quarantine,
 		PlatformDown: ps.isPlatformUnreachable, DirectlyConfirmedAt: ps.directlyConfirmedAt, FollowsPeers: ps.followsPeers, Log: ps.Log,
+		OnDeparture: ps.onPeerDeparture,
 	}
 	ps.Cluster.Init()
 	ps.Service = &forward.Service{
@@ -217,6 +226,30 @@
 	ps.Cluster.TriggerRound()
 }
 
+// onDeparture logs that a server said in an answer that it is leaving, and tells
+// the peers without waiting for the next heartbeat.
+func (ps *Process) onDeparture(now time.Time, sv *machine.Server) {
+	events.ServerLeaving.Log(ps.Log, zap.String("server", sv.Name), zap.String("source", "answer"))
+	ps.departures.Add(1)
+	ps.Cluster.ReportDeparture(now, machine.Departure{Server: sv.Name, StartedAt: sv.StartedAt})
+}
+
+// onPeerDeparture stops the use of a server that said to a peer that it is
+// leaving.
+func (ps *Process) onPeerDeparture(now time.Time, dp machine.Departure) {
+	events.ServerLeaving.Log(ps.Log, zap.String("server", dp.Server), zap.String("source", "peer"))
+	ps.departures.Add(1)
+	ps.Fleets.Update(func(fl view.Fleet) view.Fleet { return fl.WithDeparture(now, dp) })
+}
+
+// onBackOff logs and counts that a server asked for no requests.
+func (ps *Process) onBackOff(now time.Time, sv *machine.Server, delay time.Duration) {
+	ps.backOffs.Add(1)
+	if ps.backOffLogs.AllowN(now, 1) {
+		events.ServerBackOff.Log(ps.Log, zap.String("server", sv.Name), zap.Duration("delay", delay), zap.Int64("total", ps.backOffs.Load()))
+	}
+}
+
 // listen opens all listeners and serves on them. The caller listener comes
 // first in ps.servers, which Stop relies on.
 func (ps *Process) listen(fe FrontEnd) error {
--- a/internal/node/forwardvm/state.go
+++ b/internal/node/forwardvm/state.go
@@ -49,7 +49,12 @@
 	FailureShare int64         `json:"miss_share_per_mille"`
 	Suspect      bool          `json:"suspect"`
 	Leaves       bool          `json:"leaves"`
-	PartsSent    int64         `json:"runs"`
+	// Departing is set if the server itself said that it is leaving.
+	Departing bool `json:"departing"`
+	// BackOffUntil is until when the server asked for no requests; zero if it never
+	// did.
+	BackOffUntil time.Time `json:"back_off_until,omitzero"`
+	PartsSent    int64     `json:"runs"`
 }
 
 // State returns a dump of the process. It takes no lock that requests wait for.
@@ -70,13 +75,20 @@
 			st.Servers = append(st.Servers, ServerState{
 				Server: sv, InFlight: sv.State.InFlight.Load(), Latency: time.Duration(sv.State.LatencyNanos.Load()),
 				FailureShare: sv.State.FailureShare(now), Suspect: sv.State.IsSuspect(now), Leaves: sv.IsLeaving(now),
-				PartsSent: sv.State.PartsSent.Load(),
+				PartsSent: sv.State.PartsSent.Load(), Departing: sv.State.Departing.Load(), BackOffUntil: backOffUntil(sv),
 			})
 		}
 	}
 	return st
 }
 
+func backOffUntil(sv *machine.Server) time.Time {
+	if nanos := sv.State.BackOffUntil.Load(); nanos != 0 {
+		return time.Unix(0, nanos)
+	}
+	return time.Time{}
+}
+
 // operatorRoutes returns the handler for the metrics and the dump.
 func (ps *Process) operatorRoutes() http.Handler {
 	mux := http.NewServeMux()
@@ -110,6 +122,8 @@
 		"forward_load":              float64(ps.load.Load()),
 		"forward_mismatched":        float64(ps.Backend.Mismatches.Load()),
 		"forward_extra_refused":     float64(ps.Service.Budgets.DeniedCount()),
+		"forward_server_departures": float64(ps.departures.Load()),
+		"forward_server_back_offs":  float64(ps.backOffs.Load()),
 		"forward_log_lines_dropped": float64(ps.droppedLines()),
 	})
 }
--- a/internal/peer/backend/client.go
+++ b/internal/peer/backend/client.go
@@ -74,6 +74,11 @@
 	// Mismatches counts the answers that did not belong to their request or were
 	// damaged.
 	Mismatches atomic.Int64
+	// OnDeparture is called when a server first says that it is leaving, OnBackOff
+	// when one starts to ask for no requests. They are set before the first
+	// request, and may be nil.
+	OnDeparture func(now time.Time, sv *machine.Server)
+	OnBackOff   func(now time.Time, sv *machine.Server, delay time.Duration)
 }
 
 // New returns a client and a function that closes its connections.
@@ -199,6 +204,11 @@
 		pl.release(now, cn)
 		return &contract.PartError{Cause: contract.CauseDeadline, NotRun: true}
 	}
+	if !sv.AcceptsWork(now) {
+		// The server said so while this request waited for a connection.
+		pl.release(now, cn)
+		return &contract.PartError{Cause: contract.CauseWithheld, NotRun: true}
+	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	if limits.Idempotent && limits.FirstByteTimeout > 0 {
@@ -274,9 +284,23 @@
 	return &contract.PartError{Cause: cause, NotRun: !written, Err: err}
 }
 
+// recordNotices records what a server said about itself in an answer.
+func (cl *Client) recordNotices(now time.Time, sv *machine.Server, nt Notices) {
+	if nt.Leaving && sv.State.MarkDeparting() && cl.OnDeparture != nil {
+		cl.OnDeparture(now, sv)
+	}
+	if nt.BackOff > 0 && sv.State.BackOff(now, nt.BackOff) && cl.OnBackOff != nil {
+		cl.OnBackOff(now, sv, nt.BackOff)
+	}
+}
+
 // respondsOnNewConn reports whether a server answers on a new connection, in
-// which case a broken connection does not mean that the server is lost.
+// which case a broken connection does not mean that the server is lost. A server
+// that asked for no requests is not checked: it was alive moments ago.
 func (cl *Client) respondsOnNewConn(ctx context.Context, pl *pool, check healthCheck) bool {
+	if pl.server.State.IsBackingOff(time.Now()) {
+		return true
+	}
 	if !pl.tryReserveSlot(pl.share.Load()) {
 		return false
 	}
@@ -361,7 +385,7 @@
 // the check fails. If the check succeeds and the older connection is still silent,
 // it cancels the request and invalidates the older connections to the server.
 func (cl *Client) checkSilent(ctx context.Context, pl *pool, cn *conn, check healthCheck, sentAt time.Time, limit time.Duration, cancelRequest context.CancelCauseFunc) {
-	if ctx.Err() != nil || !cn.IsSilent(sentAt) {
+	if ctx.Err() != nil || !cn.IsSilent(sentAt) || pl.server.State.IsBackingOff(time.Now()) {
 		return
 	}
 	startedAt := time.Now()
@@ -417,7 +441,7 @@
 // idle connections that are no longer usable.
 func (cl *Client) Warm(ctx context.Context, now time.Time, servers []*machine.Server) {
 	for _, sv := range servers {
-		if sv.IsLeaving(now) || sv.State.IsSuspect(now) {
+		if !sv.AcceptsWork(now) || sv.State.IsSuspect(now) {
 			continue
 		}
 		pl := cl.pool(sv)
--- a/internal/peer/backend/exchange.go
+++ b/internal/peer/backend/exchange.go
@@ -32,6 +32,15 @@
 	Load *Load
 }
 
+// Notices is what a server says about itself in the head of any answer.
+type Notices struct {
+	// Leaving is set if the server is leaving.
+	Leaving bool
+	// BackOff is how long the server wants no requests from this process; 0 if it
+	// did not say.
+	BackOff time.Duration
+}
+
 // Codec encodes messages as HTTP requests and decodes responses. Retries,
 // timeouts and connections are left to the Exchanger and its Client.
 type Codec[M Message, A any] interface {
@@ -39,6 +48,9 @@
 	// Decode decodes an answer. For an answer that belongs to another message,
 	// the error has the cause contract.CauseMismatched.
 	Decode(sv *machine.Server, message M, rs *http.Response, body []byte) (A, AnswerStatus)
+	// Notices returns what an answer, also to a health check, says about the
+	// server.
+	Notices(rs *http.Response) Notices
 	// Health returns the request of a health check, and IsHealthy reports
 	// whether the response to it is that of a healthy server.
 	Health(ctx context.Context, sv *machine.Server) (*http.Request, error)
@@ -80,6 +92,7 @@
 	}
 	answer, status := ex.Codec.Decode(sv, message, rs, body)
 	now := time.Now()
+	ex.Client.recordNotices(now, sv, ex.Codec.Notices(rs))
 	if status.Load != nil {
 		sv.State.RecordLoad(now, status.Load.Running+status.Load.Waiting)
 	}
@@ -102,6 +115,7 @@
 	if err != nil {
 		return err
 	}
+	ex.Client.recordNotices(time.Now(), sv, ex.Codec.Notices(rs))
 	if !ex.Codec.IsHealthy(sv, rs) {
 		return &contract.PartError{Cause: contract.CauseServerError}
 	}
--- a/internal/peer/entry/cluster.go
+++ b/internal/peer/entry/cluster.go
@@ -109,6 +109,9 @@
 	// FollowsPeers reports whether this process gets the platform's changes from
 	// peers only, so that it pulls every difference at once; it may be nil.
 	FollowsPeers func() bool
+	// OnDeparture is called when a peer reports that a server is leaving that was
+	// not known to leave; it may be nil.
+	OnDeparture func(now time.Time, dp machine.Departure)
 
 	leaving atomic.Bool
 	// everConfirmed is set with the first confirmation by the platform and never
@@ -117,12 +120,14 @@
 	// catchingUp is set while an exchange started by catchUpFromSender runs.
 	catchingUp atomic.Bool
 	members    *rcu.Value[members]
+	departures *rcu.Value[departures]
 	trigger    chan struct{}
 }
 
 // Init initializes the cluster. It is called once, before the other methods.
 func (cr *Cluster) Init() {
 	cr.members = rcu.New(members{})
+	cr.departures = rcu.New(departures{})
 	cr.trigger = make(chan struct{}, 1)
 }
 
@@ -195,6 +200,7 @@
 func (cr *Cluster) round(ctx context.Context) {
 	now := time.Now()
 	cr.removeSilent(now)
+	cr.removeOldDepartures(now)
 	targets := cr.targets(now)
 	done := make(chan struct{}, len(targets))
 	for _, address := range targets {
@@ -313,6 +319,7 @@
 		Digest:       cp.Digest,
 	}
 	hb.Members = sampleMembers(now, *cr.members.Load())
+	hb.Departures = cr.encodeDepartures(now)
 	for fingerprint, cs := range cr.Quarantine.Crashes() {
 		hb.Quarantines = append(hb.Quarantines, &entrypb.Quarantine{Fingerprint: fingerprint, Servers: cs.Servers})
 	}
@@ -389,6 +396,7 @@
 	for _, qn := range hb.Quarantines {
 		cr.mergeQuarantine(now, qn)
 	}
+	cr.mergeDepartures(now, hb.Departures)
 }
 
 // changesMembers reports whether a merge of records would change the members. It
--- a/internal/query/forward/forward.go
+++ b/internal/query/forward/forward.go
@@ -234,6 +234,9 @@
 func (sv *Service) sendToService(ctx context.Context, now time.Time, rn *run, fingerprint uint64) (*Reply, error) {
 	service := rn.state.splitter.Pick(rn.route.Services)
 	jb := sv.newJob(now, rn, fingerprint, []string{service})
+	if rf := refuseUnavailable(now, jb.Shards, rn.route.MinCoverage); rf != nil {
+		return nil, rf
+	}
 	rs := sv.Engine.Run(ctx, jb)
 	sv.recordSends(rn, rs)
 	part := &rs.Parts[0]
@@ -242,7 +245,7 @@
 		answer := part.Answer
 		return &Reply{Answer: &answer, Coverage: contract.Coverage{Total: 1, Answered: 1}}, nil
 	case !rs.MayHaveRun:
-		return nil, contract.NewRefusal(contract.NotRun, contract.CodeNoServer, "no server of %s took the request", service)
+		return nil, notTaken(jb, rn.route.MinCoverage, "no server of "+service+" took the request")
 	}
 	return nil, contract.NewRefusal(contract.Unknown, contract.CodeNoAnswer, "no server of %s answered in time", service)
 }
@@ -252,6 +255,9 @@
 // missing.
 func (sv *Service) sendToShards(ctx context.Context, now time.Time, rn *run, fingerprint uint64) (*Reply, error) {
 	jb := sv.newJob(now, rn, fingerprint, rn.route.Shards)
+	if rf := refuseUnavailable(now, jb.Shards, rn.route.MinCoverage); rf != nil {
+		return nil, rf
+	}
 	if goal := rn.route.Goal; goal > 0 {
 		jb.PartialAfter = now.Add(goal - min(goalMargin, goal*maxGoalMarginPercent/100))
 	}
@@ -272,7 +278,7 @@
 	rn.record.Coverage = reply.Coverage
 	switch {
 	case reply.Coverage.Answered == 0 && !rs.MayHaveRun:
-		return nil, contract.NewRefusal(contract.NotRun, contract.CodeNoServer, "no server took a part of the request")
+		return nil, notTaken(jb, rn.route.MinCoverage, "no server took a part of the request")
 	case reply.Coverage.Answered == 0:
 		return nil, contract.NewRefusal(contract.Unknown, contract.CodeNoAnswer, "no shard answered in time")
 	case reply.Coverage.Ratio() < rn.route.MinCoverage:
--- a/internal/query/forward/forward_test.go
+++ b/internal/query/forward/forward_test.go
@@ -16,6 +16,7 @@
 	"daisystage.example/daisystage/internal/container/rcu"
 	"daisystage.example/daisystage/internal/query/scatter"
 	"daisystage.example/daisystage/internal/world/contract"
+	"daisystage.example/daisystage/internal/world/machine"
 	"daisystage.example/daisystage/internal/world/view"
 )
 
@@ -58,9 +59,13 @@
 	}
 	tb, err := contract.NewTable(4, routes, nil, contract.CallerLimits{}.Defaults())
 	assert.NilError(t, err)
+	fl := view.Fleet{Table: tb}
+	for _, service := range []string{"s0", "s1", "s2", "s3", "storage"} {
+		fl = fl.WithServer(machine.Server{Name: "i-" + service, Service: service, Slots: 1})
+	}
 	ro := &recordingObserver{}
 	return &Service{
-		Fleets: rcu.New(view.Fleet{Table: tb}), ConfirmedAt: time.Now, Quarantine: contract.NewQuarantine(),
+		Fleets: rcu.New(fl), ConfirmedAt: time.Now, Quarantine: contract.NewQuarantine(),
 		Engine: fe, Budgets: NewBudgets(time.Now(), contract.RetryBudget{Window: 10 * time.Second}, 1), Observer: ro,
 	}, ro
 }
--- a/internal/query/forward/retry_after.go
+++ b/internal/query/forward/retry_after.go
@@ -18,6 +18,9 @@
 // RetryAfter returns how long a caller should wait before it resends a request
 // that was refused and did not run.
 func RetryAfter(rf *contract.Refusal) time.Duration {
+	if rf.RetryAfter > 0 {
+		return rf.RetryAfter
+	}
 	if rf.Code == contract.CodeStarting {
 		return retryAfterStarting
 	}
--- a/internal/query/scatter/gather.go
+++ b/internal/query/scatter/gather.go
@@ -97,7 +97,7 @@
 
 func newGather[R ReplicaPolicy, H HedgePolicy, M, A any](en *Engine[R, H, M, A], jb *Job[M]) *gather[R, H, M, A] {
 	ga := &gather[R, H, M, A]{engine: en, job: jb, parts: make([]partState[A], len(jb.Shards)), pending: len(jb.Shards)}
-	ga.needed = max(int(math.Ceil(jb.Settings.MinCoverage*float64(len(jb.Shards))-coverageEpsilon)), 1)
+	ga.needed = NeededParts(jb.Settings.MinCoverage, len(jb.Shards))
 	maxResults := 0
 	for i := range jb.Shards {
 		ga.parts[i].shard = &jb.Shards[i]
@@ -112,6 +112,12 @@
 	return ga
 }
 
+// NeededParts returns the number of answered parts, out of total, that reach a
+// minimum coverage; at least 1.
+func NeededParts(minCoverage float64, total int) int {
+	return max(int(math.Ceil(minCoverage*float64(total)-coverageEpsilon)), 1)
+}
+
 // maxSends returns the maximum number of attempts at one shard.
 func (ga *gather[R, H, M, A]) maxSends(sh *Shard) int {
 	rounds := 1
@@ -237,11 +243,11 @@
 }
 
 // chooseFrom applies the replica policy to the servers that are not in except,
-// are not leaving and may have the data.
+// accept work and may have the data.
 func (ga *gather[R, H, M, A]) chooseFrom(now time.Time, servers, except []*machine.Server, avoid string) *machine.Server {
 	ga.candidates = ga.candidates[:0]
 	for _, sv := range servers {
-		if slices.Contains(except, sv) || sv.IsLeaving(now) || ga.job.MayHaveData != nil && !ga.job.MayHaveData(now, sv) {
+		if slices.Contains(except, sv) || !sv.AcceptsWork(now) || ga.job.MayHaveData != nil && !ga.job.MayHaveData(now, sv) {
 			continue
 		}
 		ga.candidates = append(ga.candidates, sv)
--- a/internal/world/contract/outcome.go
+++ b/internal/world/contract/outcome.go
@@ -3,7 +3,10 @@
 // its receipt.
 package contract
 
-import "fmt"
+import (
+	"fmt"
+	"time"
+)
 
 // Outcome is the result of a request as returned to the caller.
 type Outcome string
@@ -59,6 +62,9 @@
 	Reason string
 	// Err is the underlying error; it may be nil.
 	Err error
+	// RetryAfter is how long the caller should wait before it sends the request
+	// again; 0 if that is unknown.
+	RetryAfter time.Duration
 }
 
 // Unwrap returns the underlying error.
@@ -95,6 +101,9 @@
 	CauseDeadline     Cause = "deadline"
 	CauseCanceled     Cause = "canceled"
 	CauseQuarantined  Cause = "quarantined"
+	// CauseWithheld means that the attempt was not sent, because the server is
+	// leaving or asked for no requests meanwhile.
+	CauseWithheld Cause = "withheld"
 )
 
 // PartError is the error of one attempt at a part.
--- a/internal/world/contract/servicebudget.go
+++ b/internal/world/contract/servicebudget.go
@@ -162,5 +162,9 @@
 // whether it is allowed. A retry is not counted if the failed attempt did not
 // reach the server.
 func (sb *ServiceBudget) TryRetry(now time.Time, cause Cause, required bool) bool {
-	return cause == CauseDialFailed || cause == CauseNoLink || sb.trySpend(now, required)
+	switch cause {
+	case CauseDialFailed, CauseNoLink, CauseWithheld:
+		return true
+	}
+	return sb.trySpend(now, required)
 }
--- a/internal/world/machine/server.go
+++ b/internal/world/machine/server.go
@@ -56,15 +56,35 @@
 }
 
 // IsLeaving reports whether the server is shutting down and gets no new work. A
-// report from one source is enough; it expires readmitAfter after the last one.
+// report from one source is enough. It expires readmitAfter after the last one,
+// except for the record and for what the server itself said in an answer, which
+// hold until it restarts.
 func (sv *Server) IsLeaving(now time.Time) bool {
-	if sv.Leaving {
+	if sv.Leaving || sv.State.Departing.Load() {
 		return true
 	}
 	at := sv.State.LeavingAt.Load()
 	return at != 0 && now.UnixNano()-at < int64(readmitAfter)
 }
 
+// AcceptsWork reports whether requests may be sent to the server: it is not
+// leaving and did not ask this process to back off.
+func (sv *Server) AcceptsWork(now time.Time) bool {
+	return !sv.IsLeaving(now) && !sv.State.IsBackingOff(now)
+}
+
+// AcceptsWorkAt returns the earliest time from which AcceptsWork may hold, and
+// false for a server that is leaving.
+func (sv *Server) AcceptsWorkAt(now time.Time) (time.Time, bool) {
+	if sv.IsLeaving(now) {
+		return time.Time{}, false
+	}
+	if until := time.Unix(0, sv.State.BackOffUntil.Load()); until.After(now) {
+		return until, true
+	}
+	return now, true
+}
+
 // HasRoom reports whether the server is below its in-flight limit. If a recent
 // load report shows a free slot, the limit is at least the number of slots.
 func (sv *Server) HasRoom(now time.Time) bool {
--- a/internal/world/machine/state.go
+++ b/internal/world/machine/state.go
@@ -58,6 +58,9 @@
 	// failureHalfLife is the time in which the failure share of an unused server
 	// halves.
 	failureHalfLife = 2 * time.Second
+	// maxBackOff bounds the time for which a server can ask for no requests, so
+	// that one faulty answer does not take a server out for good.
+	maxBackOff = 5 * time.Minute
 	// maxFailureShare stays below shareUnit, so that the expected number of sends
 	// is finite.
 	maxFailureShare = 950
@@ -76,6 +79,13 @@
 	// LeavingAt is when a source last reported the server as leaving, in Unix
 	// nanoseconds; 0 is never.
 	LeavingAt atomic.Int64
+	// Departing is set when the server itself said in an answer, to this process
+	// or to another entry VM, that it is leaving. It is never reset: a restarted
+	// server has a new state.
+	Departing atomic.Bool
+	// BackOffUntil is until when the server asked this process for no requests, in
+	// Unix nanoseconds. It never decreases.
+	BackOffUntil atomic.Int64
 	// SuspectUntil is until when the server is used only as a last resort after a
 	// failure, in Unix nanoseconds. An answer to a part that was sent after the
 	// failure ends it early.
@@ -226,6 +236,32 @@
 	st.LeavingAt.Store(now.UnixNano())
 }
 
+// MarkDeparting records that the server said it is leaving, and reports whether
+// that was unknown.
+func (st *ServerState) MarkDeparting() bool {
+	return st.Departing.CompareAndSwap(false, true)
+}
+
+// BackOff records that the server asked for no requests during a delay. It
+// reports whether the server was not backing off before.
+func (st *ServerState) BackOff(now time.Time, delay time.Duration) bool {
+	until := now.Add(min(delay, maxBackOff)).UnixNano()
+	for {
+		have := st.BackOffUntil.Load()
+		if until <= have {
+			return false
+		}
+		if st.BackOffUntil.CompareAndSwap(have, until) {
+			return have <= now.UnixNano()
+		}
+	}
+}
+
+// IsBackingOff reports whether the server asked for no requests at this time.
+func (st *ServerState) IsBackingOff(now time.Time) bool {
+	return now.UnixNano() < st.BackOffUntil.Load()
+}
+
 // ObserveLatency adds the latency of one answer to the smoothed latency. A rise
 // has more weight than a fall, so that a server that became slow is avoided
 // quickly.
--- a/internal/world/machine/state_test.go
+++ b/internal/world/machine/state_test.go
@@ -109,3 +109,16 @@
 		assert.Assert(t, failing.ExpectedLatency(at, time.Millisecond) > 2*steady.ExpectedLatency(at, time.Millisecond), "%s", cause)
 	}
 }
+
+func TestBackOff(t *testing.T) {
+	sv := newServer("a")
+	assert.Assert(t, sv.AcceptsWork(now))
+	assert.Assert(t, sv.State.BackOff(now, time.Second))
+	assert.Assert(t, !sv.State.BackOff(now, 500*time.Millisecond), "a shorter one changes nothing")
+	assert.Assert(t, !sv.AcceptsWork(now.Add(time.Second-1)))
+	sv.State.RecordAnswer(now.Add(time.Millisecond), time.Millisecond, 25)
+	assert.Assert(t, !sv.AcceptsWork(now.Add(time.Millisecond)), "an answer to an earlier part does not end it")
+	assert.Assert(t, sv.AcceptsWork(now.Add(time.Second)))
+	sv.State.BackOff(now, time.Duration(1<<62))
+	assert.Assert(t, sv.AcceptsWork(now.Add(maxBackOff)), "it is bounded")
+}
--- a/internal/world/view/fleet.go
+++ b/internal/world/view/fleet.go
@@ -24,6 +24,23 @@
 	// expiring holds the time at which servers whose record disappeared are
 	// removed, by name.
 	expiring map[string]time.Time
+	// former holds removed servers by name, for formerServerTTL. One that
+	// registers again without a restart keeps what is known about it.
+	former map[string]formerServer
+}
+
+// formerServerTTL is longer than outages of the platform in which the records of
+// running servers expire.
+const formerServerTTL = 10 * time.Minute
+
+// formerServer is a server that was removed, or one that is only known from a
+// peer.
+type formerServer struct {
+	StartedAt time.Time
+	Leaving   bool
+	// State is not nil.
+	State     *machine.ServerState
+	RemovedAt time.Time
 }
 
 // ServersOf returns the servers of a service.
@@ -52,6 +69,12 @@
 	return fl.update(func(dr *draft) { dr.removeServer(now, name, removeAt) })
 }
 
+// WithDeparture returns a fleet in which a server that said that it is leaving
+// gets no more work until it restarts, also if it is not registered yet.
+func (fl Fleet) WithDeparture(now time.Time, dp machine.Departure) Fleet {
+	return fl.update(func(dr *draft) { dr.setDeparture(now, dp) })
+}
+
 // update calls change with a draft of the fleet and returns the changed fleet.
 func (fl Fleet) update(change func(dr *draft)) Fleet {
 	dr := &draft{Fleet: fl}
@@ -63,14 +86,15 @@
 // changes.
 type draft struct {
 	Fleet
-	// copied is set if Servers and expiring are copies that may be changed.
+	// copied is set if the maps of servers are copies that may be changed.
 	copied bool
 }
 
-// copyMaps copies Servers and expiring before the first change.
+// copyMaps copies the maps of servers before the first change.
 func (dr *draft) copyMaps() {
 	if !dr.copied {
-		dr.Servers, dr.expiring, dr.copied = cloneOrEmpty(dr.Servers), cloneOrEmpty(dr.expiring), true
+		dr.Servers, dr.expiring, dr.former = cloneOrEmpty(dr.Servers), cloneOrEmpty(dr.expiring), cloneOrEmpty(dr.former)
+		dr.copied = true
 	}
 }
 
@@ -109,13 +133,20 @@
 // restarted.
 func (dr *draft) setServer(sv machine.Server) {
 	old := dr.Servers[sv.Name]
-	if old != nil && old.StartedAt == sv.StartedAt {
+	if old != nil && old.StartedAt.Equal(sv.StartedAt) {
 		sv.State = old.State
 		sv.Leaving = sv.Leaving || old.Leaving
 	}
 	if old != nil && sv.StartedAt.Before(old.StartedAt) {
 		return
 	}
+	if fm, ok := dr.former[sv.Name]; ok && old == nil && !sv.StartedAt.After(fm.StartedAt) {
+		if sv.StartedAt.Before(fm.StartedAt) {
+			return
+		}
+		sv.State = fm.State
+		sv.Leaving = sv.Leaving || fm.Leaving
+	}
 	if sv.State == nil {
 		sv.State = &machine.ServerState{}
 	}
@@ -137,6 +168,7 @@
 		dr.copyMaps()
 		delete(dr.Servers, name)
 		delete(dr.expiring, name)
+		dr.setFormer(now, name, formerServer{StartedAt: sv.StartedAt, Leaving: sv.Leaving, State: sv.State, RemovedAt: now})
 		return
 	}
 	if _, ok := dr.expiring[name]; !ok {
@@ -146,6 +178,33 @@
 	}
 }
 
+// setFormer adds a former server and forgets those removed too long ago. The maps
+// must have been copied.
+func (dr *draft) setFormer(now time.Time, name string, fm formerServer) {
+	maps.DeleteFunc(dr.former, func(_ string, old formerServer) bool { return now.Sub(old.RemovedAt) > formerServerTTL })
+	dr.former[name] = fm
+}
+
+// setDeparture implements WithDeparture.
+func (dr *draft) setDeparture(now time.Time, dp machine.Departure) {
+	if sv := dr.Servers[dp.Server]; sv != nil {
+		if !sv.StartedAt.After(dp.StartedAt) {
+			sv.State.MarkDeparting()
+		}
+		return
+	}
+	if fm, ok := dr.former[dp.Server]; ok && !fm.StartedAt.Before(dp.StartedAt) {
+		if fm.StartedAt.Equal(dp.StartedAt) {
+			fm.State.MarkDeparting()
+		}
+		return
+	}
+	dr.copyMaps()
+	state := &machine.ServerState{}
+	state.MarkDeparting()
+	dr.setFormer(now, dp.Server, formerServer{StartedAt: dp.StartedAt, State: state, RemovedAt: now})
+}
+
 // RemoveExpired returns a fleet without the expired servers: those whose record
 // disappeared and whose removal is due.
 func (fl Fleet) RemoveExpired(now time.Time) Fleet {
--- a/internal/world/view/fleet_test.go
+++ b/internal/world/view/fleet_test.go
@@ -195,3 +195,62 @@
 	}
 	return lines
 }
+
+// TestDepartureHoldsUntilRestart lets a server that said it is leaving lose its
+// record, register again as ready, and be reported by a peer before it registers.
+func TestDepartureHoldsUntilRestart(t *testing.T) {
+	departure := machine.Departure{Server: "one", StartedAt: start}
+	restarted := planServer
+	restarted.StartedAt = start.Add(time.Second)
+	earlier := planServer
+	earlier.StartedAt = start.Add(-time.Second)
+	registered := func(t *testing.T, version int64, sv machine.Server) func(Fleet) Fleet {
+		return func(fl Fleet) Fleet { return mustApply(t, fl, start, recordObject("one", version, sv)) }
+	}
+	departed := func(fl Fleet) Fleet { return fl.WithDeparture(start, departure) }
+	removed := func(version int64) func(Fleet) Fleet {
+		return func(fl Fleet) Fleet {
+			return mustApply(t, fl, start, deletedObject("one", version)).RemoveExpired(start.Add(removalDelay))
+		}
+	}
+	tests := []struct {
+		name  string
+		steps []func(Fleet) Fleet
+		// used is whether the server may get work in the end.
+		used bool
+	}{
+		{"no departure", []func(Fleet) Fleet{registered(t, 1, planServer)}, true},
+		{"a ready record after it", []func(Fleet) Fleet{registered(t, 1, planServer), departed, registered(t, 2, planServer)}, false},
+		{"a record that was lost and is back", []func(Fleet) Fleet{registered(t, 1, planServer), departed, removed(2), registered(t, 3, planServer)}, false},
+		{"a record after the departure", []func(Fleet) Fleet{departed, registered(t, 1, planServer)}, false},
+		{"a record of an earlier start", []func(Fleet) Fleet{departed, registered(t, 1, earlier)}, false},
+		{"a restart", []func(Fleet) Fleet{registered(t, 1, planServer), departed, registered(t, 2, restarted)}, true},
+		{"a restart after the removal", []func(Fleet) Fleet{registered(t, 1, planServer), departed, removed(2), registered(t, 3, restarted)}, true},
+		{"a departure of the start before", []func(Fleet) Fleet{registered(t, 1, restarted), departed}, true},
+		{"a departure of the start before, after the removal", []func(Fleet) Fleet{registered(t, 1, restarted), removed(2), departed, registered(t, 3, restarted)}, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			fl := Fleet{}
+			for _, step := range tt.steps {
+				fl = step(fl)
+			}
+			used := false
+			for _, sv := range fl.ServersOf("plans") {
+				used = used || sv.AcceptsWork(start)
+			}
+			assert.Equal(t, used, tt.used)
+		})
+	}
+}
+
+// TestBackOffOutlastsLostRecord guards against a server that is asked again
+// because its record was lost and came back.
+func TestBackOffOutlastsLostRecord(t *testing.T) {
+	fl := mustApply(t, Fleet{}, start, recordObject("one", 1, planServer))
+	fl.Servers["one"].State.BackOff(start, time.Minute)
+	fl = mustApply(t, fl, start, deletedObject("one", 2)).RemoveExpired(start.Add(removalDelay))
+	fl = mustApply(t, fl, start, recordObject("one", 3, planServer))
+	assert.Assert(t, !fl.Servers["one"].AcceptsWork(start.Add(time.Minute-1)))
+	assert.Assert(t, fl.Servers["one"].AcceptsWork(start.Add(time.Minute)))
+}
