Bound the bytes of an answer that does not end

Cause: http.ReadResponse reads a head without any limit and repeats for each informational answer; a body may have 16 MiB for each request, whatever the memory of the VM. One server that sent without end took the whole memory: TestEndlessAnswers was killed by the system after 26 s, and with a limit of 4 GB ended with 'out of memory'.

Change: a connection reads at most 64 KiB of heads for an answer, and of the body and its framing what its length or the limit allows. Bodies of requests and answers reserve from one pool of an eighth of the VM's memory; a lease of the call returns them when the reply is written.

--- a/internal/node/forwardvm/config.go
+++ b/internal/node/forwardvm/config.go
@@ -34,6 +34,8 @@
 	// LinkMbps is the speed of this VM's network link in megabits per second; 0
 	// if unknown.
 	LinkMbps float64
+	// MemoryMB is the memory of this VM in megabytes; 0 if unknown.
+	MemoryMB int
 	// DrainFor is how long a leaving server continues to serve.
 	DrainFor time.Duration
 	// ApplyWithin is the time within which a change of the configuration must
@@ -62,8 +64,23 @@
 	defaultStopWithin      = 6 * time.Second
 	defaultMaxDirectoryTTL = 5 * time.Second
 	defaultRetryWindow     = 10 * time.Second
+	defaultMemoryMB        = 256
 )
 
+// messageMemoryDivisor is the part of the VM's memory that the bodies of requests
+// and answers in flight may occupy: each is held up to twice while it grows, and
+// garbage is collected when the heap has doubled.
+const messageMemoryDivisor = 8
+
+// MessageMemory returns the number of bytes that the bodies of requests and
+// answers in flight may occupy.
+func (cg Config) MessageMemory() int64 {
+	if cg.MemoryMB == 0 {
+		return defaultMemoryMB * 1e6 / messageMemoryDivisor
+	}
+	return int64(cg.MemoryMB) * 1e6 / messageMemoryDivisor
+}
+
 // Defaults returns a config in which every field that has a default is set.
 func (Config) Defaults() Config {
 	return Config{
@@ -97,6 +114,8 @@
 	switch {
 	case cg.Retries.Ratio < 0 || cg.Retries.Slack < 0:
 		return &contract.FieldError{Key: "retries", Accepted: "a ratio and a slack that are not negative"}
+	case cg.MemoryMB < 0:
+		return &contract.FieldError{Key: "memory_mb", Accepted: "a number that is not negative"}
 	case cg.StopWithin < time.Second:
 		return &contract.FieldError{Key: "stop_within", Accepted: "1s or more"}
 	case cg.DrainFor < time.Second:
--- a/internal/node/forwardvm/process.go
+++ b/internal/node/forwardvm/process.go
@@ -15,6 +15,7 @@
 	"golang.org/x/time/rate"
 	"google.golang.org/grpc"
 
+	"daisystage.example/daisystage/internal/container/quota"
 	"daisystage.example/daisystage/internal/container/rcu"
 	"daisystage.example/daisystage/internal/node/events"
 	"daisystage.example/daisystage/internal/node/lifecycle"
@@ -214,6 +215,7 @@
 			Sender: fe.NewSender(ps.Backend, ps.Fleets), Zone: zone.Zone{Name: cg.Zone, DefaultDelay: defaultZoneDelay},
 			Quarantine: quarantine, OnServerLost: ps.onServerLost,
 		},
+		Memory:   quota.NewPool(cg.MessageMemory()),
 		Budgets:  forward.NewBudgets(now, cg.Retries, len(cg.Peers)+1),
 		Observer: newObserver(ps.Log, ps.Metrics.Scope),
 	}
--- a/internal/peer/backend/client.go
+++ b/internal/peer/backend/client.go
@@ -152,6 +152,9 @@
 		if refused := (*backendapi.RefusedStatusCode)(nil); errors.As(err, &refused) {
 			return refusalError(refused)
 		}
+		if errors.Is(err, errNoAnswer) {
+			return cl.discardMismatched(cn, err)
+		}
 		if err != nil {
 			return err
 		}
--- a/internal/peer/backend/conn.go
+++ b/internal/peer/backend/conn.go
@@ -14,6 +14,7 @@
 	"sync"
 	"time"
 
+	"daisystage.example/daisystage/internal/container/quota"
 	"daisystage.example/daisystage/internal/wire/backendapi"
 	"daisystage.example/daisystage/internal/world/link"
 )
@@ -27,6 +28,14 @@
 	smallRequestSize = 8 << 10
 	// maxAnswerSize limits the body of one answer, in bytes.
 	maxAnswerSize = 16 << 20
+	// maxHeadSize limits the head of one answer, in bytes, together with the
+	// informational answers before it.
+	maxHeadSize = 64 << 10
+	// maxFramingSize and framingDivisor limit the bytes of one answer that are
+	// neither head nor body, such as chunk sizes and trailers: a constant plus a
+	// share of the body.
+	maxFramingSize = 64 << 10
+	framingDivisor = 4
 	// keepAliveMargin is how long before the server's keep-alive timeout an idle
 	// connection stops being used, so that the server does not close it while a
 	// request is in transit.
@@ -37,7 +46,9 @@
 // writes return at once.
 var expiredDeadline = time.Unix(1, 0)
 
-var errAnswerTooLarge = errors.New("answer is too large")
+// errNoAnswer is returned for bytes that are no answer, or do not end within the
+// bounds of one.
+var errNoAnswer = errors.New("the bytes are no answer")
 
 // requestBuffers holds the buffers into which requests are encoded.
 var requestBuffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
@@ -53,6 +64,11 @@
 	// staleAt is when the connection has been idle for too long to be reused,
 	// by the server's Keep-Alive header; zero if there was none.
 	staleAt time.Time
+	// readable is the number of bytes that may still be read for the current
+	// answer.
+	readable int64
+	// memory bounds the bodies of the answers of one request; nil sets no bound.
+	memory *quota.Lease
 	// api is the client of the native protocol; nil until first used.
 	api *backendapi.Client
 }
@@ -63,11 +79,17 @@
 	net.Conn
 	link *link.Link
 	pool *pool
+	// conn is the owner, whose readable bounds the reads.
+	conn *conn
 }
 
 // Read implements net.Conn.
 func (cc *trackedConn) Read(buffer []byte) (int, error) {
-	count, err := cc.Conn.Read(buffer)
+	if cc.conn.readable <= 0 {
+		return 0, errNoAnswer
+	}
+	count, err := cc.Conn.Read(buffer[:min(int64(len(buffer)), cc.conn.readable)])
+	cc.conn.readable -= int64(count)
 	if count > 0 {
 		now := time.Now().UnixNano()
 		cc.link.LastRead.Store(now)
@@ -157,10 +179,11 @@
 }
 
 func (cn *conn) readAnswer(rq *http.Request) (*http.Response, error) {
+	cn.readable = maxHeadSize
 	for {
 		rs, err := http.ReadResponse(cn.reader, rq)
 		if err != nil {
-			return nil, fmt.Errorf("read answer: %w", err)
+			return nil, fmt.Errorf("read answer: %w", asNoAnswer(err))
 		}
 		if rs.StatusCode >= http.StatusOK {
 			return rs, cn.readBody(rs)
@@ -169,22 +192,15 @@
 }
 
 func (cn *conn) readBody(rs *http.Response) error {
-	var body []byte
-	var err error
-	switch {
-	case rs.ContentLength > maxAnswerSize:
-		err = errAnswerTooLarge
-	case rs.ContentLength >= 0:
-		body = make([]byte, rs.ContentLength)
-		_, err = io.ReadFull(rs.Body, body)
-	default:
-		body, err = io.ReadAll(io.LimitReader(rs.Body, maxAnswerSize+1))
-		if err == nil && len(body) > maxAnswerSize {
-			err = errAnswerTooLarge
-		}
+	cn.readable = maxFramingSize
+	limit := int64(maxAnswerSize)
+	if rs.ContentLength >= 0 {
+		limit = min(limit, rs.ContentLength)
 	}
+	cn.readable += limit + limit/framingDivisor
+	body, err := quota.ReadAll(rs.Body, rs.ContentLength, maxAnswerSize, cn.memory)
 	if err != nil {
-		return fmt.Errorf("read body: %w", err)
+		return fmt.Errorf("read body: %w", asNoAnswer(err))
 	}
 	// Bytes after a complete answer belong to no request.
 	cn.broken = cn.broken || rs.Close || cn.reader.Buffered() > 0
@@ -193,6 +209,20 @@
 	return nil
 }
 
+// asNoAnswer returns an error of reading an answer, as errNoAnswer if the server
+// sent bytes that are no answer. Other errors are those of the connection, and
+// quota.ErrExhausted.
+func asNoAnswer(err error) error {
+	netError := net.Error(nil)
+	switch {
+	case errors.Is(err, errNoAnswer), errors.Is(err, quota.ErrExhausted):
+		return err
+	case errors.As(err, &netError), errors.Is(err, net.ErrClosed), errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+		return err
+	}
+	return errors.Join(errNoAnswer, err)
+}
+
 // staleAt returns the time until which an idle connection may be reused, by the
 // timeout in the server's Keep-Alive header less keepAliveMargin; zero if the
 // header has no timeout.
--- a/internal/peer/backend/exchange.go
+++ b/internal/peer/backend/exchange.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"time"
 
+	"daisystage.example/daisystage/internal/container/quota"
 	"daisystage.example/daisystage/internal/query/scatter"
 	"daisystage.example/daisystage/internal/world/contract"
 	"daisystage.example/daisystage/internal/world/machine"
@@ -82,8 +84,15 @@
 	if err != nil {
 		return none, &contract.PartError{Cause: contract.CauseServerError, NotRun: true, Err: err}
 	}
+	cn.memory = message.Limits().Memory
 	rs, err := cn.Do(rq)
-	if err != nil {
+	cn.memory = nil
+	switch {
+	case errors.Is(err, errNoAnswer):
+		return none, ex.Client.discardMismatched(cn, err)
+	case errors.Is(err, quota.ErrExhausted):
+		return none, &contract.PartError{Cause: contract.CauseNoMemory, Err: err}
+	case err != nil:
 		return none, err
 	}
 	body, err := io.ReadAll(rs.Body)
--- a/internal/peer/backend/pool.go
+++ b/internal/peer/backend/pool.go
@@ -192,7 +192,7 @@
 func (pl *pool) newConn(now time.Time, raw net.Conn) *conn {
 	cn := &conn{}
 	cn.OpenedAt = now
-	cn.raw = &trackedConn{Conn: raw, link: &cn.Link, pool: pl}
+	cn.raw = &trackedConn{Conn: raw, link: &cn.Link, pool: pl, conn: cn}
 	cn.reader = bufio.NewReaderSize(cn.raw, readBufferSize)
 	return cn
 }
--- a/internal/query/forward/forward.go
+++ b/internal/query/forward/forward.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"daisystage.example/daisystage/internal/container/quota"
 	"daisystage.example/daisystage/internal/container/rcu"
 	"daisystage.example/daisystage/internal/query/scatter"
 	"daisystage.example/daisystage/internal/world/contract"
@@ -38,6 +39,9 @@
 	Message Message
 	// Deadline is how long the caller waits; 0 if it set none.
 	Deadline time.Duration
+	// Memory holds the memory of the call and its answers; the front end ends it
+	// when the reply is written. Nil sets no bound.
+	Memory *quota.Lease
 }
 
 // Attempt is the message of one attempt to one server.
@@ -114,6 +118,8 @@
 	Engine      Runner
 	Budgets     *Budgets
 	Observer    Observer
+	// Memory is shared by the bodies of all calls and answers in flight.
+	Memory *quota.Pool
 	// AttemptsSent counts the attempts sent; the owner resets it.
 	AttemptsSent atomic.Int64
 
@@ -223,7 +229,7 @@
 		jb.Shards[i] = scatter.Shard{Name: name, Replicas: rn.fleet.ServersOf(name), Budget: budget}
 	}
 	attempt := Attempt{
-		AttemptLimits: scatter.AttemptLimits{Deadline: rn.partsDeadline, Idempotent: rt.Idempotent},
+		AttemptLimits: scatter.AttemptLimits{Deadline: rn.partsDeadline, Idempotent: rt.Idempotent, Memory: rn.call.Memory},
 		Message:       &rn.call.Message, Part: len(rt.Shards) > 0,
 	}
 	jb.Message = func(*scatter.Shard, int32) Attempt { return attempt }
--- a/internal/query/scatter/scatter.go
+++ b/internal/query/scatter/scatter.go
@@ -11,6 +11,7 @@
 	"hash/fnv"
 	"time"
 
+	"daisystage.example/daisystage/internal/container/quota"
 	"daisystage.example/daisystage/internal/world/contract"
 	"daisystage.example/daisystage/internal/world/link"
 	"daisystage.example/daisystage/internal/world/machine"
@@ -46,6 +47,9 @@
 	// FirstByteTimeout is the time without a first byte after which the connection
 	// is checked for silence; 0 leaves that to the operating system.
 	FirstByteTimeout time.Duration
+	// Memory bounds the answers of all attempts of the request together; nil sets
+	// no bound.
+	Memory *quota.Lease
 }
 
 // Limits returns the limits. Message types that embed AttemptLimits inherit it.
--- a/internal/world/contract/outcome.go
+++ b/internal/world/contract/outcome.go
@@ -101,6 +101,9 @@
 	CauseDeadline     Cause = "deadline"
 	CauseCanceled     Cause = "canceled"
 	CauseQuarantined  Cause = "quarantined"
+	// CauseNoMemory means that the answer does not fit beside those of the other
+	// requests in flight.
+	CauseNoMemory Cause = "no_memory"
 	// CauseWithheld means that the attempt was not sent, because the server is
 	// leaving or asked for no requests meanwhile.
 	CauseWithheld Cause = "withheld"
