Judge each entry of the platform alone

Cause: a page of the store was decoded as a whole, so that one entry nested too deeply, with a revision that is no whole number, or of another type ended the list; nothing was followed any more. Ports out of range, slots of 2^53 and a warm-up of 1e300 ms were taken as servers; a negative top_k or connection limit of a configuration ended the process. A heartbeat without a sender did, too.

Change: pages are split by structure without a limit of depth, and each entry is decoded alone. One that can't be read is left out, logged once, counted and shown in the dump. Numbers are checked against ranges before any conversion, which differs between processors out of range. A reply that names no sender is ignored.

--- a/internal/node/forwardvm/process.go
+++ b/internal/node/forwardvm/process.go
@@ -91,7 +91,9 @@
 // three return the handlers for requests, health checks and the directory of
 // entry VMs.
 type FrontEnd struct {
-	Store            platform.Reader
+	Store platform.Reader
+	// Unreadable collects the entries that Store leaves out.
+	Unreadable       *platform.Unreadable
 	Codec            view.FleetCodec
 	NewSender        func(cl *backend.Client, fleets *rcu.Value[view.Fleet]) scatter.Sender[forward.Attempt, forward.Answer]
 	CallerHandler    func(ps *Process) http.Handler
@@ -113,8 +115,10 @@
 	// LogQueue is the queue that Log writes to; nil if there is none.
 	LogQueue *events.Queue
 
-	target  *fleetTarget
-	watcher *platform.Watcher
+	// unreadable collects the platform's entries that can't be used.
+	unreadable *platform.Unreadable
+	target     *fleetTarget
+	watcher    *platform.Watcher
 	// settings is the configuration in force, with the changes of reloads.
 	settings  *rcu.Value[Config]
 	startedAt time.Time
@@ -194,6 +198,10 @@
 	quarantine.SuspectAt, quarantine.BlockAt = quarantineThreshold, quarantineThreshold
 	transport := &entry.GRPCTransport{Dial: dial}
 	ps.group.Cleanup(transport.Close)
+	ps.unreadable = fe.Unreadable
+	ps.unreadable.OnNew = func(entry platform.UnreadableEntry) {
+		events.BadObjectRefused.Log(ps.Log, zap.String("error", entry.Problem))
+	}
 	ps.target = &fleetTarget{process: ps, codec: fe.Codec}
 	ps.watcher = platform.NewWatcher(fe.Store, []string{view.PrefixTable, view.PrefixFleetServers}, ps.target,
 		platform.WatchPacing{MaxWait: randomWatchWait, Pause: watchBatchDelay}, ps.Log)
--- a/internal/node/forwardvm/state.go
+++ b/internal/node/forwardvm/state.go
@@ -9,6 +9,7 @@
 
 	"daisystage.example/daisystage/internal/node/events"
 	"daisystage.example/daisystage/internal/peer/backend"
+	"daisystage.example/daisystage/internal/peer/platform"
 	"daisystage.example/daisystage/internal/world/contract"
 	"daisystage.example/daisystage/internal/world/machine"
 )
@@ -39,6 +40,8 @@
 	Servers      []ServerState                `json:"servers"`
 	Quarantines  map[uint64]contract.Crashes  `json:"quarantines"`
 	Links        map[string]backend.PoolState `json:"links"`
+	// Unreadable holds the platform's entries that can't be used.
+	Unreadable []platform.UnreadableEntry `json:"unreadable"`
 }
 
 // ServerState describes one server as this process sees it.
@@ -65,7 +68,7 @@
 		Ready: ps.IsReady(now), Leaving: ps.IsLeaving(), CarriesCallers: ps.carriesCallers.Load(),
 		WatchesPlatform: ps.watcher.IsCurrent(), PlatformUnreachable: ps.isPlatformUnreachable(), ConfirmationAge: now.Sub(ps.Cluster.ConfirmedAt()),
 		Version: fl.Version, Digest: fl.Digest, EntryVMs: ps.Cluster.Members(now),
-		Quarantines: ps.Service.Quarantine.Crashes(), Links: ps.Backend.Pools(),
+		Quarantines: ps.Service.Quarantine.Crashes(), Links: ps.Backend.Pools(), Unreadable: ps.unreadable.Entries(),
 	}
 	if fl.Table != nil {
 		st.TableVersion, st.Routes = fl.Table.Version, fl.Table.Routes
@@ -124,6 +127,7 @@
 		"forward_extra_refused":     float64(ps.Service.Budgets.DeniedCount()),
 		"forward_server_departures": float64(ps.departures.Load()),
 		"forward_server_back_offs":  float64(ps.backOffs.Load()),
+		"forward_unreadable":        float64(ps.unreadable.Total.Load()),
 		"forward_log_lines_dropped": float64(ps.droppedLines()),
 	})
 }
--- a/internal/node/forwardvm/upkeep.go
+++ b/internal/node/forwardvm/upkeep.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -38,7 +39,11 @@
 		return fl
 	})
 	for _, err := range refused {
-		events.BadObjectRefused.Log(ps.Log, zap.Error(err))
+		if errors.Is(err, view.ErrOlderVersion) {
+			events.OlderObjectRefused.Log(ps.Log, zap.Error(err))
+			continue
+		}
+		ps.unreadable.Record(now, err.Error())
 	}
 	if after.Digest != before.Digest {
 		ps.Cluster.TriggerRound()
--- a/internal/peer/entry/cluster.go
+++ b/internal/peer/entry/cluster.go
@@ -272,6 +272,10 @@
 		}
 		return
 	}
+	if reply.GetSender().GetName() == "" {
+		events.PeerFailed.Log(cr.Log, zap.String("address", address), zap.String("error", "the reply names no sender"))
+		return
+	}
 	cr.mergeHeartbeat(sentAt, reply)
 	cr.handleReply(ctx, sentAt, address, reply)
 }
@@ -352,8 +356,10 @@
 
 // HandleHeartbeat merges a heartbeat from a peer and returns the reply.
 func (cr *Cluster) HandleHeartbeat(now time.Time, hb *entrypb.Heartbeat) *entrypb.Heartbeat {
-	cr.mergeHeartbeat(now, hb)
-	cr.catchUpFromSender(now, hb)
+	if hb.GetSender().GetName() != "" {
+		cr.mergeHeartbeat(now, hb)
+		cr.catchUpFromSender(now, hb)
+	}
 	return cr.Heartbeat(now)
 }
 
--- a/internal/peer/entry/cluster_test.go
+++ b/internal/peer/entry/cluster_test.go
@@ -262,3 +262,28 @@
 	unconfirmed.Confirmation = &view.Confirmation{}
 	assert.Assert(t, ready(unconfirmed, unconfirmed.Self.Name))
 }
+
+// TestHeartbeatWithoutSenderIsIgnored guards against a peer of another kind at a
+// known address, whose message would end the process.
+func TestHeartbeatWithoutSenderIsIgnored(t *testing.T) {
+	for _, hb := range []*entrypb.Heartbeat{{}, {Sender: &entrypb.Member{}, Digest: 7, Version: 9}} {
+		mm, all := newClusters(2)
+		reply := all[0].HandleHeartbeat(time.Now(), hb)
+		assert.Equal(t, reply.Sender.Name, all[0].Self.Name)
+		assert.Equal(t, len(all[0].Members(time.Now())), 1)
+		other := all[1]
+		other.Transport = replyTransport{mm, hb}
+		other.exchange(t.Context(), all[0].Self.EntryAddress)
+		assert.Equal(t, len(other.Members(time.Now())), 1)
+	}
+}
+
+// replyTransport answers each heartbeat with the same reply.
+type replyTransport struct {
+	*memTransport
+	reply *entrypb.Heartbeat
+}
+
+func (rt replyTransport) Exchange(context.Context, string, *entrypb.Heartbeat) (*entrypb.Heartbeat, error) {
+	return rt.reply, nil
+}
--- a/internal/peer/entry/sync.go
+++ b/internal/peer/entry/sync.go
@@ -27,7 +27,7 @@
 		cr.Confirmation.Confirm(sentAt.Add(-time.Duration(reply.ConfirmedMs) * time.Millisecond))
 	}
 	cr.members.Update(func(old members) members {
-		mb, ok := old[reply.Sender.Name]
+		mb, ok := old[reply.GetSender().GetName()]
 		if !ok {
 			return old
 		}
@@ -37,7 +37,7 @@
 		if same || behind {
 			mb.Mismatches = 0
 		}
-		next[reply.Sender.Name] = mb
+		next[reply.GetSender().GetName()] = mb
 		return next
 	})
 }
@@ -45,14 +45,14 @@
 // shouldPull reports whether a difference of the digests needs a pull. One that
 // this process's own watch will probably resolve within a round does not.
 func (cr *Cluster) shouldPull(now time.Time, reply *entrypb.Heartbeat) bool {
-	mb := (*cr.members.Load())[reply.Sender.Name]
+	mb := (*cr.members.Load())[reply.GetSender().GetName()]
 	return cr.isFollower() || mb.Mismatches > 0 || now.Sub(cr.Confirmation.AsOf()) > watchLag
 }
 
 // pull fetches the objects that a peer has and this process lacks, and reports
 // whether the digests are the same afterwards.
 func (cr *Cluster) pull(ctx context.Context, address string, reply *entrypb.Heartbeat) bool {
-	mb := (*cr.members.Load())[reply.Sender.Name]
+	mb := (*cr.members.Load())[reply.GetSender().GetName()]
 	after := cr.Replica.Current().Version
 	switch {
 	case mb.Mismatches >= fullPullAfter:
@@ -71,7 +71,7 @@
 	cr.Replica.Apply(time.Now(), cr.Replica.Current().Newer(decodeObjects(pulled.Objects)))
 	digest := cr.Replica.Current().Digest
 	if digest != before {
-		events.PulledFromPeer.Log(cr.Log, zap.String("peer", reply.Sender.Name), zap.Int64("version", pulled.Version))
+		events.PulledFromPeer.Log(cr.Log, zap.String("peer", reply.GetSender().GetName()), zap.Int64("version", pulled.Version))
 	}
 	return digest == reply.Digest
 }
--- a/internal/world/contract/table.go
+++ b/internal/world/contract/table.go
@@ -63,6 +63,10 @@
 		return fmt.Errorf("route %s: names no service, or services and shards", fr.Name)
 	case fr.Timeout <= 0:
 		return fmt.Errorf("route %s: timeout %s is not positive", fr.Name, fr.Timeout)
+	case fr.TopK < 0 || fr.TopK > maxTopK:
+		return fmt.Errorf("route %s: %d records are not in 0 to %d", fr.Name, fr.TopK, maxTopK)
+	case len(fr.Services) > 0 && !hasPositiveWeight(fr.Services):
+		return fmt.Errorf("route %s: a weight is negative, or none is positive", fr.Name)
 	case fr.MinCoverage < 0 || fr.MinCoverage > maxShare:
 		return fmt.Errorf("route %s: minimum coverage %g is not in 0 to 1", fr.Name, fr.MinCoverage)
 	case len(fr.Shards) > 0 && !fr.Idempotent:
@@ -71,6 +75,27 @@
 	return nil
 }
 
+// hasPositiveWeight reports whether a service has a positive weight, and none a
+// negative one.
+func hasPositiveWeight(services []WeightedService) bool {
+	positive := false
+	for _, ws := range services {
+		if ws.Weight < 0 {
+			return false
+		}
+		positive = positive || ws.Weight > 0
+	}
+	return positive
+}
+
+const (
+	// maxTopK bounds the records of a merged answer, which are kept in memory.
+	maxTopK = 1 << 20
+	// maxConnectionLimit bounds the connections to one server, for each of which a
+	// pool has room.
+	maxConnectionLimit = 1 << 14
+)
+
 // Service is a set of equivalent servers.
 type Service struct {
 	Name string `json:"name"`
@@ -113,9 +138,14 @@
 func NewTable(version int64, routes []*ForwardRoute, services []Service, limits CallerLimits) (*Table, error) {
 	tb := &Table{Version: version, Services: map[string]Service{}, Limits: limits, Routes: routes, hosts: map[string][]*ForwardRoute{}}
 	for _, se := range services {
+		if se.ConnectionLimit < 0 {
+			return nil, fmt.Errorf("service %s: connection limit %d is negative", se.Name, se.ConnectionLimit)
+		}
+		se.ConnectionLimit = min(max(se.ConnectionLimit, 1), maxConnectionLimit)
 		tb.Services[se.Name] = se
 	}
 	for _, fr := range routes {
+		fr.Shards = withoutRepeats(fr.Shards)
 		if err := fr.Validate(); err != nil {
 			return nil, err
 		}
@@ -129,6 +159,16 @@
 	return tb, nil
 }
 
+// withoutRepeats returns names without those that occurred before.
+func withoutRepeats(names []string) []string {
+	seen := make(map[string]bool, len(names))
+	return slices.DeleteFunc(names, func(name string) bool {
+		repeated := seen[name]
+		seen[name] = true
+		return repeated
+	})
+}
+
 // Match returns the route of the host with the longest prefix of the path, or nil
 // if there is none. host may include a port.
 func (tb *Table) Match(host, path string) *ForwardRoute {
