--- a/cmd/daisystage/process_test.go
+++ b/cmd/daisystage/process_test.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -76,13 +77,15 @@
 	serverAddresses map[string]string
 }
 
-// freeAddress returns a loopback address that was free a moment ago.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	ls, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer ls.Close()
-	return ls.Addr().String()
+var loopbackHosts atomic.Int64
+
+// newAddress returns an address on a loopback IP of its own. A port of 127.0.0.1
+// that is free now may be taken by an outgoing connection of any program before
+// the process listens on it, or while it is down for a restart.
+func newAddress() string {
+	number := loopbackHosts.Add(1)
+	ip := net.IPv4(127, byte(210+os.Getpid()%40), byte(number/250), byte(1+number%250))
+	return net.JoinHostPort(ip.String(), "8401")
 }
 
 // newDeployment starts all processes, writes the settings, and waits until each
@@ -92,12 +95,12 @@
 	dir, err := buildBinaries()
 	assert.NilError(t, err)
 	dp := &deployment{
-		t: t, dir: dir, platformAddress: freeAddress(t),
+		t: t, dir: dir, platformAddress: newAddress(),
 		controlAddresses: map[string]string{}, configs: map[string]string{}, callerAddresses: map[string]string{},
 		operatorAddresses: map[string]string{}, commands: map[string]*exec.Cmd{}, exits: map[string]chan error{}, serverAddresses: map[string]string{},
 	}
 	t.Cleanup(dp.close)
-	dp.controlAddresses["platform"] = freeAddress(t)
+	dp.controlAddresses["platform"] = newAddress()
 	dp.startProcess("platform", "standin", "platform", "--address", dp.platformAddress, "--control", dp.controlAddresses["platform"])
 	dp.store, err = platform.New([]string{dp.platformAddress}, &http.Client{}, platform.RateLimits{ReadsPerSecond: 1000, WritesPerSecond: 1000})
 	assert.NilError(t, err)
@@ -173,12 +176,26 @@
 			return
 		}
 		if time.Now().After(deadline) {
-			dp.t.Fatalf("after %s: %v", testTimeout, err)
+			dp.t.Fatalf("after %s: %v%s", testTimeout, err, dp.endedProcesses())
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
 }
 
+// endedProcesses lists the processes that ended by themselves, with their output.
+func (dp *deployment) endedProcesses() string {
+	var ended strings.Builder
+	for name, exit := range dp.exits {
+		select {
+		case err := <-exit:
+			exit <- err
+			fmt.Fprintf(&ended, "\n%s ended: %v", name, err)
+		default:
+		}
+	}
+	return ended.String()
+}
+
 // putObject creates an object on the platform, from a string or from a value to
 // encode as JSON.
 func (dp *deployment) putObject(key string, value any) {
@@ -197,9 +214,9 @@
 func (dp *deployment) startServer(at int) {
 	name := fmt.Sprintf("server-%d", at)
 	settings := server.Settings{}.Defaults()
-	settings.Name, settings.Service, settings.Zone, settings.Address = name, "lessons", fmt.Sprintf("zone-%d", at%3), freeAddress(dp.t)
+	settings.Name, settings.Service, settings.Zone, settings.Address = name, "lessons", fmt.Sprintf("zone-%d", at%3), newAddress()
 	dp.serverAddresses[name] = settings.Address
-	dp.controlAddresses[name] = freeAddress(dp.t)
+	dp.controlAddresses[name] = newAddress()
 	dp.startProcess(name, "standin", "server", "--name", name, "--address", settings.Address, "--control", dp.controlAddresses[name])
 	dp.putObject(view.PrefixServers+name, settings)
 	dp.servers = append(dp.servers, name)
@@ -229,12 +246,12 @@
 	var peers []string
 	entries := make([]string, entryVMs)
 	for at := range entries {
-		entries[at] = freeAddress(dp.t)
+		entries[at] = newAddress()
 		peers = append(peers, fmt.Sprintf("%q", entries[at]))
 	}
 	for at, entry := range entries {
 		name := fmt.Sprintf("entry-%d", at)
-		dp.callerAddresses[name], dp.operatorAddresses[name] = freeAddress(dp.t), freeAddress(dp.t)
+		dp.callerAddresses[name], dp.operatorAddresses[name] = newAddress(), newAddress()
 		text := fmt.Sprintf(`name = %q
 zone = "zone-%d"
 caller_address = %q
--- a/cmd/daisystage/serve.go
+++ b/cmd/daisystage/serve.go
@@ -20,8 +20,9 @@
 
 const usageServe = `Run the process of an entry VM until SIGTERM or SIGINT.
 
-Stopping takes the sum of keep_for, stop_margin and drain_for in the config and
-cuts no request. A second signal does not shorten it.
+Stopping takes the sum of keep_for, stop_margin and drain_for in the config. It
+cuts only requests that then run for two more minutes. A second signal does not
+shorten it.
 
 Example: daisystage serve --config entry.toml`
 
--- a/cmd/standin/load.go
+++ b/cmd/standin/load.go
@@ -58,6 +58,9 @@
 // run sends requests for the time of the run, waits for their answers and prints
 // the results.
 func (ld *load) run() error {
+	if ld.rate < 1 {
+		return fmt.Errorf("--rate %d is not positive", ld.rate)
+	}
 	client := caller.NewClient(&http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}, "", ld.entries)
 	cpu, _ := processUsage(ld.pid)
 	ticker := time.NewTicker(time.Second / time.Duration(ld.rate))
--- a/internal/node/forwardvm/process.go
+++ b/internal/node/forwardvm/process.go
@@ -343,6 +343,7 @@
 		old.DrainFor, old.ApplyWithin, old.StopWithin = cg.DrainFor, cg.ApplyWithin, cg.StopWithin
 		return old
 	})
+	ps.Cluster.SetSeeds(cg.Peers)
 	events.SettingsReloaded.Log(ps.Log, zap.Duration("stop_within", cg.StopWithin), zap.Duration("drain_for", cg.DrainFor),
 		zap.Float64("retry_ratio", cg.Retries.Ratio), zap.Float64("retry_slack", cg.Retries.Slack))
 }
--- a/internal/peer/backend/client.go
+++ b/internal/peer/backend/client.go
@@ -325,8 +325,10 @@
 	if pl.lastRead.Load() > since.UnixNano() {
 		return true
 	}
-	// Reuse the slot of the connection that was reset.
-	pl.open.Add(1)
+	if !pl.tryReserveSlot(pl.share.Load()) {
+		// Other requests hold connections up to the share, so it does accept them.
+		return true
+	}
 	ctx, cancel := context.WithTimeout(ctx, reconnectTimeout)
 	defer cancel()
 	cn, err := pl.connect(ctx)
--- a/internal/peer/backend/conn.go
+++ b/internal/peer/backend/conn.go
@@ -229,7 +229,7 @@
 func staleAt(now time.Time, keepAlive string) time.Time {
 	for field := range strings.SplitSeq(keepAlive, ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
-		if seconds, err := strconv.Atoi(value); err == nil && strings.EqualFold(name, "timeout") {
+		if seconds, err := strconv.ParseUint(value, 10, 31); err == nil && strings.EqualFold(name, "timeout") {
 			return now.Add(time.Duration(seconds)*time.Second - keepAliveMargin)
 		}
 	}
--- a/internal/peer/backend/pool.go
+++ b/internal/peer/backend/pool.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"sync/atomic"
 	"time"
@@ -54,6 +55,8 @@
 	// nanoseconds.
 	lastRead  atomic.Int64
 	dialSlots chan struct{}
+	// closed is closed by close.
+	closed chan struct{}
 }
 
 func newPool(dial DialFunc, sv *machine.Server) *pool {
@@ -62,6 +65,7 @@
 		server:    sv,
 		idle:      make(chan *conn, 2*sv.ConnectionLimit),
 		dialSlots: make(chan struct{}, maxConcurrentDials),
+		closed:    make(chan struct{}),
 	}
 }
 
@@ -80,12 +84,17 @@
 			if cn != nil && pl.usableAfterIdle(time.Now(), cn) {
 				return cn, nil
 			}
+		case <-pl.closed:
+			return nil, &contract.PartError{Cause: contract.CauseNoLink, NotRun: true, Err: errPoolClosed}
 		case <-ctx.Done():
 			return nil, &contract.PartError{Cause: contract.CauseNoLink, NotRun: true, Err: context.Cause(ctx)}
 		}
 	}
 }
 
+// errPoolClosed is the error of requests for a server that is no longer known.
+var errPoolClosed = errors.New("the server is no longer known")
+
 // trafficShare returns the maximum number of connections for requests: the
 // share without healthCheckReserve, or a lower limit observed recently.
 func (pl *pool) trafficShare(now time.Time) int64 {
@@ -242,8 +251,15 @@
 
 // invalidate prevents the reuse of connections that were opened before a time.
 func (pl *pool) invalidate(openedBefore time.Time) {
-	if pl.invalidBefore.Swap(openedBefore.UnixNano()) < openedBefore.UnixNano() {
-		pl.invalidations.Add(1)
+	for {
+		have := pl.invalidBefore.Load()
+		if have >= openedBefore.UnixNano() {
+			return
+		}
+		if pl.invalidBefore.CompareAndSwap(have, openedBefore.UnixNano()) {
+			pl.invalidations.Add(1)
+			return
+		}
 	}
 }
 
@@ -263,9 +279,11 @@
 	}
 }
 
-// close closes all idle connections. Those in use are closed on release.
+// close closes all idle connections and ends the waits for one. Connections in use
+// are closed on release. It is called once.
 func (pl *pool) close() {
 	pl.share.Store(0)
+	close(pl.closed)
 	for {
 		select {
 		case cn := <-pl.idle:
--- a/internal/peer/entry/cluster.go
+++ b/internal/peer/entry/cluster.go
@@ -88,7 +88,9 @@
 // Cluster tracks the other entry VMs by heartbeats and synchronizes the copy of
 // the platform's objects with them. Set the fields and call Init before Run.
 type Cluster struct {
-	Self      machine.EntryVM
+	Self machine.EntryVM
+	// Seeds are the entry addresses to contact before any member is known. After
+	// Init they are replaced by SetSeeds only.
 	Seeds     []string
 	Transport Transport
 	Replica   Replica
@@ -121,16 +123,24 @@
 	catchingUp atomic.Bool
 	members    *rcu.Value[members]
 	departures *rcu.Value[departures]
-	trigger    chan struct{}
+	// seeds holds the seeds in force.
+	seeds   *rcu.Value[[]string]
+	trigger chan struct{}
 }
 
 // Init initializes the cluster. It is called once, before the other methods.
 func (cr *Cluster) Init() {
 	cr.members = rcu.New(members{})
 	cr.departures = rcu.New(departures{})
+	cr.seeds = rcu.New(cr.Seeds)
 	cr.trigger = make(chan struct{}, 1)
 }
 
+// SetSeeds replaces the entry addresses to contact.
+func (cr *Cluster) SetSeeds(seeds []string) {
+	cr.seeds.Update(func([]string) []string { return seeds })
+}
+
 // Leave marks this process as leaving and starts a round of heartbeats. It can't
 // be undone.
 func (cr *Cluster) Leave() {
@@ -241,7 +251,7 @@
 			addresses[0] = watcher
 		}
 	}
-	for _, seed := range cr.Seeds {
+	for _, seed := range *cr.seeds.Load() {
 		if !live[seed] && !slices.Contains(addresses, seed) {
 			addresses = append(addresses, seed)
 		}
--- a/internal/peer/entry/cluster_test.go
+++ b/internal/peer/entry/cluster_test.go
@@ -287,3 +287,14 @@
 func (rt replyTransport) Exchange(context.Context, string, *entrypb.Heartbeat) (*entrypb.Heartbeat, error) {
 	return rt.reply, nil
 }
+
+// TestReloadedSeedsAreContacted replaces the seeds of a process that knows nobody.
+func TestReloadedSeedsAreContacted(t *testing.T) {
+	_, all := newClusters(2)
+	all[0].SetSeeds([]string{"gone:1"})
+	all[0].round(t.Context())
+	assert.Equal(t, len(all[0].Members(time.Now())), 1)
+	all[0].SetSeeds([]string{all[1].Self.EntryAddress})
+	all[0].round(t.Context())
+	assert.Equal(t, len(all[0].Members(time.Now())), 2)
+}
--- a/internal/peer/entry/grpc.go
+++ b/internal/peer/entry/grpc.go
@@ -5,10 +5,13 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/status"
 
 	"daisystage.example/daisystage/internal/wire/entrypb"
 )
@@ -23,7 +26,14 @@
 
 	lock sync.Mutex
 	// conns holds the connections by address.
-	conns map[string]*grpc.ClientConn
+	conns map[string]*peerConn
+}
+
+// peerConn is the connection to one entry VM.
+type peerConn struct {
+	*grpc.ClientConn
+	// answeredAt is when a call was last answered, in Unix nanoseconds.
+	answeredAt atomic.Int64
 }
 
 // Close closes all connections.
@@ -36,11 +46,11 @@
 	gt.conns = nil
 }
 
-func (gt *GRPCTransport) client(address string) (entrypb.EntryClient, error) {
+func (gt *GRPCTransport) conn(address string) (*peerConn, error) {
 	gt.lock.Lock()
 	defer gt.lock.Unlock()
-	if cc, ok := gt.conns[address]; ok {
-		return entrypb.NewEntryClient(cc), nil
+	if pc, ok := gt.conns[address]; ok {
+		return pc, nil
 	}
 	cc, err := grpc.NewClient("passthrough:///"+address,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
@@ -53,50 +63,58 @@
 		return nil, fmt.Errorf("connect to entry VM %s: %w", address, err)
 	}
 	if gt.conns == nil {
-		gt.conns = map[string]*grpc.ClientConn{}
+		gt.conns = map[string]*peerConn{}
 	}
-	gt.conns[address] = cc
-	return entrypb.NewEntryClient(cc), nil
+	pc := &peerConn{ClientConn: cc}
+	gt.conns[address] = pc
+	return pc, nil
 }
 
-// closeConn closes the connection to an address, so that the next call opens a
-// new one. After a failed call the old one may be dead without having been
-// closed.
-func (gt *GRPCTransport) closeConn(address string) {
+// closeIfDead closes a connection after a call that failed with err, so that the
+// next call opens a new one: the old one may be dead without having been closed. It
+// is kept for the calls beside if the caller canceled this one, or if another call
+// was answered since it was sent.
+func (gt *GRPCTransport) closeIfDead(address string, pc *peerConn, sentAt time.Time, err error) {
+	if status.Code(err) == codes.Canceled || pc.answeredAt.Load() > sentAt.UnixNano() {
+		return
+	}
 	gt.lock.Lock()
 	defer gt.lock.Unlock()
-	if cc, ok := gt.conns[address]; ok {
+	if gt.conns[address] == pc {
 		delete(gt.conns, address)
-		_ = cc.Close()
 	}
+	_ = pc.Close()
 }
 
-// Exchange implements Transport.
-func (gt *GRPCTransport) Exchange(ctx context.Context, address string, hb *entrypb.Heartbeat) (*entrypb.Heartbeat, error) {
-	client, err := gt.client(address)
+// call makes one call to an entry VM.
+func call[R any](gt *GRPCTransport, address string, do func(entrypb.EntryClient) (R, error)) (R, error) {
+	var none R
+	pc, err := gt.conn(address)
 	if err != nil {
-		return nil, err
+		return none, err
 	}
-	reply, err := client.Exchange(ctx, hb)
+	sentAt := time.Now()
+	reply, err := do(entrypb.NewEntryClient(pc))
 	if err != nil {
-		gt.closeConn(address)
-		return nil, fmt.Errorf("heartbeat to %s: %w", address, err)
+		gt.closeIfDead(address, pc, sentAt, err)
+		return none, fmt.Errorf("call entry VM %s: %w", address, err)
 	}
+	pc.answeredAt.Store(time.Now().UnixNano())
 	return reply, nil
 }
 
+// Exchange implements Transport.
+func (gt *GRPCTransport) Exchange(ctx context.Context, address string, hb *entrypb.Heartbeat) (*entrypb.Heartbeat, error) {
+	return call(gt, address, func(client entrypb.EntryClient) (*entrypb.Heartbeat, error) {
+		return client.Exchange(ctx, hb)
+	})
+}
+
 // Pull implements Transport.
 func (gt *GRPCTransport) Pull(ctx context.Context, address string, rq *entrypb.PullRequest) (*entrypb.PullReply, error) {
-	client, err := gt.client(address)
-	if err != nil {
-		return nil, err
-	}
-	reply, err := client.Pull(ctx, rq)
-	if err != nil {
-		gt.closeConn(address)
-		return nil, fmt.Errorf("pull from %s: %w", address, err)
-	}
-	return reply, nil
+	return call(gt, address, func(client entrypb.EntryClient) (*entrypb.PullReply, error) {
+		return client.Pull(ctx, rq)
+	})
 }
 
 // Server answers peers over gRPC.
--- a/internal/peer/platform/claims.go
+++ b/internal/peer/platform/claims.go
@@ -281,6 +281,11 @@
 	var lastErr error
 	for len(batch) > 0 {
 		batch = dropCanceled(batch, lastErr)
+		if cs.ctx.Err() != nil {
+			// The process is stopping: no further attempt would be made.
+			failAll(batch, errors.Join(cs.ctx.Err(), lastErr))
+			return
+		}
 		if len(batch) == 0 {
 			return
 		}
@@ -316,11 +321,12 @@
 	if len(written) == 0 {
 		return nil, nil
 	}
+	// Unless the write succeeds, the changes are in this copy only.
+	bk.loaded = false
 	text, err := json.Marshal(bk.claims)
 	if err != nil {
 		return written, fmt.Errorf("encode claims %s: %w", bk.key, err)
 	}
-	bk.loaded = false
 	version, err := cs.store.Put(ctx, bk.key, string(text), bk.version)
 	if err != nil {
 		return written, err
@@ -349,6 +355,13 @@
 	return kept
 }
 
+// failAll completes changes with an error.
+func failAll(batch []*change, err error) {
+	for _, ch := range batch {
+		ch.done <- err
+	}
+}
+
 // withLatestDeadline returns a context with the latest deadline of the batch, or
 // without a deadline if any change has none.
 func withLatestDeadline(ctx context.Context, batch []*change) (context.Context, context.CancelFunc) {
--- a/internal/query/admit/gate.go
+++ b/internal/query/admit/gate.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -188,19 +189,22 @@
 		return nil, contract.NewRefusal(contract.NotRun, contract.CodeStarting, "the process is stopping")
 	}
 	latest := rq.Deadline.Add(-gt.expectedDuration(rq.Class))
-	ctx, cancel := context.WithDeadline(ctx, latest)
+	waitCtx, cancel := context.WithDeadline(ctx, latest)
 	defer cancel()
 	select {
 	case <-wt.granted:
 		gt.countQueued(tk, -1)
 		return tk, nil
-	case <-ctx.Done():
+	case <-waitCtx.Done():
 	}
 	gt.countQueued(tk, -1)
 	if !tk.state.CompareAndSwap(ticketWaiting, ticketAbandoned) {
 		return tk, nil
 	}
 	gt.signal()
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return nil, contract.NewRefusal(contract.NotRun, contract.CodeCallerGone, "the caller left while the request waited in the queue")
+	}
 	return nil, contract.NewRefusal(contract.NotRun, contract.CodeDeadlineHopeless,
 		"the request waited in the queue until its deadline could not be met")
 }
@@ -298,6 +302,17 @@
 	return true
 }
 
+// Renew holds all parts of the ticket again, for a request that starts anew. The
+// capacity may be exceeded by them, since the request is admitted already.
+func (tk *Ticket) Renew() {
+	missing := tk.parts - tk.heldParts.Swap(tk.parts)
+	tk.team.inFlight.Add(missing)
+	if tk.class != contract.Urgent {
+		tk.gate.ordinaryInFlight.Add(missing)
+	}
+	tk.gate.inFlight.Add(missing)
+}
+
 // ReleasePart releases one part of the ticket. Calls beyond the number of
 // admitted parts have no effect.
 func (tk *Ticket) ReleasePart(now time.Time) {
@@ -387,6 +402,8 @@
 			if wt == nil {
 				break
 			}
+			// The requester may read the ticket as soon as it is admitted.
+			wt.ticket.startedAt = time.Now()
 			if !gt.tryAdmit(wt.ticket) {
 				if wt.ticket.state.Load() == ticketAbandoned {
 					continue
@@ -394,7 +411,6 @@
 				return
 			}
 			cq.removeFirst(wt)
-			wt.ticket.startedAt = time.Now()
 			close(wt.granted)
 		}
 	}
--- a/internal/query/admit/queue.go
+++ b/internal/query/admit/queue.go
@@ -37,7 +37,6 @@
 // classQueue holds the queued requests of one class by team.
 type classQueue struct {
 	teams map[string]*deadlineHeap
-	size  int
 }
 
 func (cq *classQueue) add(wt *waiter) {
@@ -48,7 +47,6 @@
 		cq.teams[name] = team
 	}
 	heap.Push(team, wt)
-	cq.size++
 }
 
 // next returns the request with the earliest deadline of the team that uses the
@@ -86,7 +84,6 @@
 	name := wt.ticket.team.name
 	team := cq.teams[name]
 	heap.Pop(team)
-	cq.size--
 	if team.Len() == 0 {
 		delete(cq.teams, name)
 	}
--- a/internal/query/forward/forward.go
+++ b/internal/query/forward/forward.go
@@ -180,7 +180,8 @@
 		return contract.NewRefusal(contract.NotRun, contract.CodeStarting, "this entry VM has no configuration yet")
 	}
 	rn.record.TableVersion = tb.Version
-	rn.record.Age = now.Sub(sv.ConfirmedAt())
+	// A confirmation may arrive after now was read.
+	rn.record.Age = max(now.Sub(sv.ConfirmedAt()), 0)
 	rn.route = tb.Match(rn.call.Message.Host, rn.call.Message.URL.Path)
 	if rn.route == nil {
 		return contract.NewRefusal(contract.Invalid, contract.CodeNoRoute, "no route has this host and path")
--- a/internal/query/request/service.go
+++ b/internal/query/request/service.go
@@ -284,6 +284,7 @@
 		View:        rn.view,
 		Deadline:    sv.partsDeadline(rn),
 		OnPartDone:  func() { rn.ticket.ReleasePart(time.Now()) },
+		OnRestart:   rn.ticket.Renew,
 	}
 	an, err := sv.Runner.Run(ctx, rq)
 	rn.sends, rn.extra = an.Sends, an.Extra
--- a/internal/query/scatter/engine_test.go
+++ b/internal/query/scatter/engine_test.go
@@ -301,3 +301,26 @@
 		assert.Assert(t, time.Since(startedAt) < 20*time.Millisecond, "%s", time.Since(startedAt))
 	})
 }
+
+// TestServerOfUnsentHedgeMayBeRetried lets a hedge find the only server that may
+// get another attempt full. The server must stay available for a retry.
+func TestServerOfUnsentHedgeMayBeRetried(t *testing.T) {
+	now := time.Now()
+	jb := newJob(now, 1, newJobSettings(), &limitedBudget{left: 5})
+	ga := newGather(newEngine(&fakeServers{}), jb)
+	pt := &ga.parts[0]
+	pt.tried = slices.Clone(pt.shard.Replicas)
+	pt.retryable = []*machine.Server{pt.shard.Replicas[0]}
+	pt.openAttempts = []attempt{{number: 1, server: pt.shard.Replicas[1]}}
+	pt.hedgeAt = now
+	pt.shard.Replicas[0].State.InFlight.Store(100)
+	ga.sendDueHedges(t.Context(), now)
+	assert.Equal(t, pt.Record.Hedges, 0)
+	assert.Equal(t, pt.Record.NoRetryReason, contract.NoRetryReplicasFull)
+	assert.Equal(t, ga.chooseReplica(now, pt, ""), pt.shard.Replicas[0])
+
+	pt.retryable = nil
+	pt.hedgeAt = now
+	ga.sendDueHedges(t.Context(), now)
+	assert.Equal(t, pt.Record.NoRetryReason, contract.NoRetryNoReplica)
+}
--- a/internal/query/scatter/gather.go
+++ b/internal/query/scatter/gather.go
@@ -237,7 +237,6 @@
 	sv := ga.chooseFrom(now, pt.shard.Replicas, pt.tried, avoid)
 	if sv == nil && len(pt.retryable) > 0 {
 		sv = ga.chooseFrom(now, pt.retryable, nil, avoid)
-		pt.retryable = slices.DeleteFunc(pt.retryable, func(other *machine.Server) bool { return other == sv })
 	}
 	return sv
 }
@@ -262,6 +261,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	pt.openAttempts = append(pt.openAttempts, attempt{number: ga.attempts, server: sv, hedge: hedge, cancel: cancel})
 	pt.tried = append(pt.tried, sv)
+	pt.retryable = slices.DeleteFunc(pt.retryable, func(other *machine.Server) bool { return other == sv })
 	pt.possibleRuns++
 	pt.Record.Attempts++
 	sv.State.InFlight.Add(1)
--- a/internal/query/scatter/retry.go
+++ b/internal/query/scatter/retry.go
@@ -89,6 +89,9 @@
 		if sv == nil || !sv.HasRoom(now) {
 			// Full replicas can mean overload, which hedges would make worse.
 			pt.Record.NoRetryReason = contract.NoRetryReplicasFull
+			if sv == nil {
+				pt.Record.NoRetryReason = contract.NoRetryNoReplica
+			}
 			pt.hedgeAt = now.Add(max(ga.hedgeDelay/2, minHedgeDelay))
 			continue
 		}
--- a/internal/query/scatter/scatter.go
+++ b/internal/query/scatter/scatter.go
@@ -37,6 +37,9 @@
 	// OnPartDone is called for each part that is answered or given up, on each
 	// snapshot that the request runs on; it may be nil.
 	OnPartDone func()
+	// OnRestart is called before the request starts anew on another snapshot; it
+	// may be nil.
+	OnRestart func()
 }
 
 // AttemptLimits holds the limits of one attempt.
@@ -128,6 +131,9 @@
 			return an, nil
 		}
 		lostSnapshots[mf.ID] = true
+		if rq.OnRestart != nil {
+			rq.OnRestart()
+		}
 	}
 }
 
--- a/internal/standin/network/network.go
+++ b/internal/standin/network/network.go
@@ -167,15 +167,14 @@
 		return nil, fmt.Errorf("dial %s: connection refused", address)
 	}
 	path := nw.paths[zonePair(zone, ls.zone)]
-	partitioned := nw.partitioned[zonePair(zone, ls.zone)]
 	nw.lock.Unlock()
-	if partitioned {
-		<-ctx.Done()
-		return nil, ctx.Err()
-	}
 	if err := Sleep(ctx, 2*nw.delay(path)); err != nil {
 		return nil, err
 	}
+	if nw.isPartitioned(zone, ls.zone) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	near, nearInner := net.Pipe()
 	far, farInner := net.Pipe()
 	nw.track(nearInner, zonePair(zone, ls.zone))
@@ -194,6 +193,12 @@
 	}
 }
 
+func (nw *Network) isPartitioned(one, two string) bool {
+	nw.lock.Lock()
+	defer nw.lock.Unlock()
+	return nw.partitioned[zonePair(one, two)]
+}
+
 // delay draws the transit time of one packet.
 func (nw *Network) delay(path Path) time.Duration {
 	nw.lock.Lock()
--- a/internal/standin/platform/handler.go
+++ b/internal/standin/platform/handler.go
@@ -50,7 +50,12 @@
 	if err := hd.store.Delete(ctx, params.Key, params.IfVersion); err != nil {
 		return nil, err
 	}
-	return &platformapi.Stamp{}, nil
+	// The platform's version is that of the deletion, or of a later change.
+	_, version, err := hd.store.List(ctx, params.Key)
+	if err != nil {
+		return nil, err
+	}
+	return &platformapi.Stamp{Version: version}, nil
 }
 
 // ListObjects implements platformapi.Handler.
--- a/internal/world/contract/budget.go
+++ b/internal/world/contract/budget.go
@@ -49,8 +49,11 @@
 }
 
 func (bg *Budget) add(earned int64) {
-	if bg.tokens.Add(earned) > maxTokens {
-		bg.tokens.Store(maxTokens)
+	for {
+		have := bg.tokens.Load()
+		if bg.tokens.CompareAndSwap(have, min(have+earned, maxTokens)) {
+			return
+		}
 	}
 }
 
--- a/internal/world/contract/claim_test.go
+++ b/internal/world/contract/claim_test.go
@@ -176,8 +176,11 @@
 			assert.Equal(t, again, key)
 			end, err := ClaimEpochEnd(key)
 			assert.NilError(t, err)
-			// A claim must not be deleted while its id may still be sent.
-			assert.Assert(t, end.Add(ClaimSweepAfter).After(now.Add(ClaimRetention).Add(-2*time.Hour)))
+			// A claim must not be deleted while its id may still be sent, by the
+			// clock of an entry VM that is behind.
+			seconds, nanos := tt.id.Time().UnixTime()
+			lastSend := time.Unix(seconds, nanos).Add(ClaimRetention + maxClockAhead)
+			assert.Assert(t, !end.Add(ClaimSweepAfter).Before(lastSend))
 		})
 	}
 }
--- a/internal/world/contract/outcome.go
+++ b/internal/world/contract/outcome.go
@@ -51,6 +51,7 @@
 	CodeNoAnswer         Code = "no_answer"
 	CodeLowCoverage      Code = "coverage_below_minimum"
 	CodeAlreadyRun       Code = "already_run"
+	CodeCallerGone       Code = "caller_gone"
 )
 
 // Refusal is the error of a request that is not answered.
--- a/internal/world/contract/servicebudget.go
+++ b/internal/world/contract/servicebudget.go
@@ -40,28 +40,37 @@
 	return rb
 }
 
-// step counts the events in one step of a window.
-type step struct {
-	// number identifies the step in time. A slot that has a different number
-	// than expected counts as empty.
-	number atomic.Int64
-	count  atomic.Int64
-}
+const (
+	// A step is stored as one word, so that it changes at once: the number that
+	// identifies it in time, without the upper bits, and the count of its events
+	// in the lowest countBits.
+	countBits = 24
+	countMask = 1<<countBits - 1
+)
 
 // SlidingCount counts events in a sliding window. Its methods may be called by any
 // number of goroutines.
 type SlidingCount struct {
-	steps [stepSlots]step
+	// steps is a ring. A step that has a different number than expected counts as
+	// empty.
+	steps [stepSlots]atomic.Uint64
 }
 
 // Add counts one event.
 func (sc *SlidingCount) Add(now time.Time, window time.Duration) {
 	number := stepNumber(now, window)
 	st := &sc.steps[number%stepSlots]
-	if have := st.number.Load(); have != number && st.number.CompareAndSwap(have, number) {
-		st.count.Store(0)
+	empty := uint64(number) << countBits
+	for {
+		have := st.Load()
+		next := empty + 1
+		if have&^countMask == empty {
+			next = have + 1
+		}
+		if st.CompareAndSwap(have, next) {
+			return
+		}
 	}
-	st.count.Add(1)
 }
 
 // Sum returns the number of events in the given number of newest steps, including
@@ -70,9 +79,9 @@
 	newest := stepNumber(now, window)
 	sum := int64(0)
 	for number := newest - steps + 1; number <= newest; number++ {
-		st := &sc.steps[number&(stepSlots-1)]
-		if st.number.Load() == number {
-			sum += st.count.Load()
+		have := sc.steps[number&(stepSlots-1)].Load()
+		if have&^countMask == uint64(number)<<countBits {
+			sum += int64(have & countMask)
 		}
 	}
 	return sum
--- a/internal/world/contract/splitter.go
+++ b/internal/world/contract/splitter.go
@@ -26,12 +26,21 @@
 		total += ws.Weight
 	}
 	_, point := math.Modf(float64(sp.next.Add(1)) * inverseGoldenRatio)
-	point *= total
+	return pickAt(services, point*total)
+}
+
+// pickAt returns the service at a point of the sum of the weights.
+func pickAt(services []WeightedService, point float64) string {
+	// The subtractions round, so that the point may lie beyond the last weight.
+	last := ""
 	for _, ws := range services {
+		if ws.Weight > 0 {
+			last = ws.Service
+		}
 		if point < ws.Weight {
 			return ws.Service
 		}
 		point -= ws.Weight
 	}
-	return services[len(services)-1].Service
+	return last
 }
--- a/internal/world/contract/table.go
+++ b/internal/world/contract/table.go
@@ -172,7 +172,8 @@
 // Match returns the route of the host with the longest prefix of the path, or nil
 // if there is none. host may include a port.
 func (tb *Table) Match(host, path string) *ForwardRoute {
-	if at := strings.LastIndexByte(host, ':'); at >= 0 {
+	// The colons of an IPv6 address stand inside brackets.
+	if at := strings.LastIndexByte(host, ':'); at > strings.LastIndexByte(host, ']') {
 		host = host[:at]
 	}
 	for _, fr := range tb.hosts[strings.ToLower(host)] {
--- a/internal/world/machine/selection.go
+++ b/internal/world/machine/selection.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -30,12 +31,11 @@
 // its CPU cores and the bandwidth of its network link in Mbit/s. A bandwidth of
 // 0 is unknown and does not limit the result.
 func PartCapacity(cores, linkMbps float64) uint32 {
-	byCPU := cores * float64(time.Second/partCPUTime)
-	if linkMbps <= 0 {
-		return uint32(byCPU)
+	capacity := cores * float64(time.Second/partCPUTime)
+	if linkMbps > 0 {
+		capacity = min(capacity, linkMbps*1e6/bitsPerByte/partBytes)
 	}
-	byLink := linkMbps * 1e6 / bitsPerByte / partBytes
-	return uint32(min(byCPU, byLink))
+	return uint32(min(max(capacity, 0), math.MaxUint32))
 }
 
 // SelectEntryVMs returns the entry VMs that a caller in a zone may use: the
--- a/internal/world/machine/state.go
+++ b/internal/world/machine/state.go
@@ -166,7 +166,8 @@
 		st.lowerLimit(now, slowDecrease)
 		return
 	}
-	limit := st.Limit.Load()
+	have := st.Limit.Load()
+	limit := have
 	if limit == 0 {
 		limit = initialLimit
 	}
@@ -174,7 +175,8 @@
 		return
 	}
 	raised := min(limit+limitUnit*limitUnit/limit, maxLimit*limitUnit)
-	st.Limit.CompareAndSwap(st.Limit.Load(), max(raised, minLimit))
+	// A decrease that comes in between holds.
+	st.Limit.CompareAndSwap(have, max(raised, minLimit))
 }
 
 // isSlow reports whether the smoothed latency is above slowFactor times the
--- a/internal/world/view/view.go
+++ b/internal/world/view/view.go
@@ -7,6 +7,8 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"net"
+	"strconv"
 	"strings"
 
 	"daisystage.example/daisystage/internal/container/cowmap"
@@ -129,16 +131,31 @@
 	if err := json.Unmarshal([]byte(ob.Value), sv); err != nil {
 		return vw, fmt.Errorf("decode %s: %w", ob.Key, err)
 	}
-	if sv.Name != name || sv.Address == "" || sv.Slots < 1 || sv.ConnectionLimit < 1 {
+	if sv.Name != name || !isInRange(sv) {
 		return vw, fmt.Errorf("server %s: name, address, slots or connection limit is invalid", name)
 	}
-	if have, ok := vw.Servers.Get(name); ok && have.Address == sv.Address {
+	if have, ok := vw.Servers.Get(name); ok && have.Address == sv.Address && have.StartedAt.Equal(sv.StartedAt) {
 		sv.State = have.State
 	}
 	vw.Servers = vw.Servers.With(name, sv)
 	return vw, nil
 }
 
+// The most slots and connections of a server; each connection takes room in a pool.
+const (
+	maxSlots           = 1 << 16
+	maxConnectionLimit = 1 << 14
+)
+
+// isInRange reports whether the address and the numbers of a server's record can
+// be used.
+func isInRange(sv *machine.Server) bool {
+	_, port, err := net.SplitHostPort(sv.Address)
+	number, portErr := strconv.ParseUint(port, 10, 16)
+	return err == nil && portErr == nil && number > 0 &&
+		sv.Slots >= 1 && sv.Slots <= maxSlots && sv.ConnectionLimit >= 1 && sv.ConnectionLimit <= maxConnectionLimit
+}
+
 func (vw View) applySnapshot(ob Object) (View, error) {
 	name, id, found := strings.Cut(strings.TrimPrefix(ob.Key, PrefixSnapshots), "/")
 	if !found {
