Hubs carry the membership of large clusters

Cause: above 8 peers a heartbeat went to 3 random VMs and carried 2 other members, without saying whether they are ready. TestAllVMsSelectTheSame fails before from 30 VMs on.

Change: two hubs a zone collect its heartbeats, exchange the representatives of zones with each other and pass them on with their age, version and digest. Partners change slowly, idle peer connections are closed, buffers have 4 KiB. Seeds are tried by hubs only once the cluster is found. Departures are told once.

Also: a stop keeps a connection on which a request has arrived unread.

--- a/internal/node/forwardvm/process.go
+++ b/internal/node/forwardvm/process.go
@@ -133,8 +133,10 @@
 	// about the latter.
 	departures, backOffs atomic.Int64
 	backOffLogs          *rate.Limiter
-	servers              []*http.Server
-	grpc                 *grpc.Server
+	// callers serves callers' requests on callerListener.
+	callers        *http.Server
+	callerListener *drainListener
+	grpc           *grpc.Server
 	// group holds the goroutines and clean-up functions of the process.
 	group lifecycle.Group
 }
@@ -260,14 +262,19 @@
 	}
 }
 
-// listen opens all listeners and serves on them. The caller listener comes
-// first in ps.servers, which Stop relies on.
+// listen opens all listeners and serves on them.
 func (ps *Process) listen(fe FrontEnd) error {
+	var err error
+	ps.callers, ps.callerListener, err = newCallerServer(ps.Config.CallerAddress, fe.CallerHandler(ps))
+	if err != nil {
+		return err
+	}
+	ps.group.Cleanup(func() { _ = ps.callers.Close() })
+	ps.group.Go(func() { _ = ps.callers.Serve(ps.callerListener) })
 	listeners := []struct {
 		address string
 		handler http.Handler
 	}{
-		{ps.Config.CallerAddress, fe.CallerHandler(ps)},
 		{ps.Config.ReadyAddress, fe.ReadyHandler(ps)},
 		{ps.Config.DirectoryAddress, fe.DirectoryHandler(ps)},
 	}
@@ -292,16 +299,30 @@
 	return nil
 }
 
-func (ps *Process) serveHTTP(address string, handler http.Handler) error {
+// newCallerServer returns the server for callers' requests, and its listener.
+func newCallerServer(address string, handler http.Handler) (*http.Server, *drainListener, error) {
 	ls, err := net.Listen("tcp", address)
 	if err != nil {
-		return fmt.Errorf("listen on %s: %w", address, err)
+		return nil, nil, fmt.Errorf("listen on %s: %w", address, err)
 	}
-	hs := &http.Server{
+	hs := newHTTPServer(handler)
+	hs.ConnState = func(raw net.Conn, state http.ConnState) { raw.(*drainConn).setState(state) }
+	return hs, &drainListener{Listener: ls}, nil
+}
+
+func newHTTPServer(handler http.Handler) *http.Server {
+	return &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: zap.NewStdLog(zap.NewNop()),
 	}
-	ps.servers = append(ps.servers, hs)
+}
+
+func (ps *Process) serveHTTP(address string, handler http.Handler) error {
+	ls, err := net.Listen("tcp", address)
+	if err != nil {
+		return fmt.Errorf("listen on %s: %w", address, err)
+	}
+	hs := newHTTPServer(handler)
 	ps.group.Cleanup(func() { _ = hs.Close() })
 	ps.group.Go(func() { _ = hs.Serve(ls) })
 	return nil
@@ -373,7 +394,7 @@
 	events.Draining.Log(ps.Log)
 	ctx, cancel := context.WithDeadline(context.Background(), end.Add(-finishMargin))
 	defer cancel()
-	if err := ps.servers[0].Shutdown(ctx); err != nil {
+	if err := shutDown(ctx, ps.callers, ps.callerListener); err != nil {
 		events.StopCutShort.Log(ps.Log, zap.Error(err))
 	}
 	ps.group.Close()
--- a/internal/peer/entry/cluster.go
+++ b/internal/peer/entry/cluster.go
@@ -23,9 +23,17 @@
 
 const (
 	// smallCluster is the number of peers up to which each round of heartbeats
-	// goes to all of them; in a larger cluster a round goes to fanOut peers.
+	// goes to all of them. In a larger cluster it goes to the hubs of the zone, an
+	// entry VM that watches the platform, and a partner.
 	smallCluster = 8
-	fanOut       = 3
+	// partnerRounds is the number of rounds for which a partner is kept, so that
+	// few connections to peers are open at a time. Every farPartnerTurn-th partner
+	// may be in another zone.
+	partnerRounds = 8
+	// memberListTTL is how long a sorted list of the members is reused for replies
+	// to heartbeats.
+	memberListTTL  = 200 * time.Millisecond
+	farPartnerTurn = 16
 	// sampleSize is the number of members that one heartbeat lists, besides up
 	// to leavingSampleSize members that are leaving.
 	sampleSize        = 2
@@ -119,6 +127,12 @@
 	// everConfirmed is set with the first confirmation by the platform and never
 	// cleared.
 	everConfirmed atomic.Bool
+	// recent is the last result of recentMembers.
+	recent atomic.Pointer[memberList]
+	// rounds counts the rounds of heartbeats; partner is the entry address of the
+	// current partner. Only Run uses them.
+	rounds  int
+	partner string
 	// catchingUp is set while an exchange started by catchUpFromSender runs.
 	catchingUp atomic.Bool
 	members    *rcu.Value[members]
@@ -190,6 +204,23 @@
 	return vms
 }
 
+// memberList is a result of Members with its time.
+type memberList struct {
+	at  time.Time
+	vms []machine.EntryVM
+}
+
+// recentMembers returns a result of Members that is at most memberListTTL old. It
+// must not be changed.
+func (cr *Cluster) recentMembers(now time.Time) []machine.EntryVM {
+	if recent := cr.recent.Load(); recent != nil && now.Sub(recent.at) < memberListTTL && !now.Before(recent.at) {
+		return recent.vms
+	}
+	list := &memberList{at: now, vms: cr.Members(now)}
+	cr.recent.Store(list)
+	return list.vms
+}
+
 // Run sends heartbeats until the context is done.
 func (cr *Cluster) Run(ctx context.Context) {
 	ticker := time.NewTicker(machine.HeartbeatInterval)
@@ -234,36 +265,111 @@
 }
 
 // targets returns the addresses of the peers for one round, with all seeds that
-// are not live members. In a large cluster the result includes an entry VM that
-// watches the platform, if one is known.
+// are not live members. In a large cluster the result includes the hubs of the
+// zone, for a hub also one hub of each other zone, and an entry VM that watches the
+// platform, if one is known.
 func (cr *Cluster) targets(now time.Time) []string {
-	known := *cr.members.Load()
+	vms := cr.Members(now)
 	var addresses []string
-	live := map[string]bool{cr.Self.EntryAddress: true}
-	for _, mb := range known {
-		live[mb.EntryAddress] = live[mb.EntryAddress] || mb.IsLive(now)
-		addresses = append(addresses, mb.EntryAddress)
-	}
-	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	if len(addresses) > smallCluster {
-		addresses = addresses[:fanOut]
-		if watcher := cr.watcherAddress(now); watcher != "" && !slices.Contains(addresses, watcher) {
-			addresses[0] = watcher
+	add := func(address string) {
+		if address != "" && address != cr.Self.EntryAddress && !slices.Contains(addresses, address) {
+			addresses = append(addresses, address)
+		}
+	}
+	if len(vms) <= smallCluster+1 {
+		for _, vm := range vms {
+			add(vm.EntryAddress)
+		}
+	} else {
+		for _, vm := range cr.hubsToContact(now, vms) {
+			add(vm.EntryAddress)
+		}
+		add(cr.watcherAddress(now, vms))
+		add(cr.nextPartner(now, vms))
+	}
+	live := map[string]bool{}
+	for _, vm := range vms {
+		if vm.IsLive(now) {
+			live[vm.EntryAddress] = true
 		}
 	}
+	if len(live) > smallCluster && (cr.rounds%partnerRounds != 0 || !machine.IsHub(now, cr.Self, vms)) {
+		// The cluster is found. A seed in another zone may be live without news of
+		// it here; hubs keep trying.
+		return addresses
+	}
 	for _, seed := range *cr.seeds.Load() {
-		if !live[seed] && !slices.Contains(addresses, seed) {
-			addresses = append(addresses, seed)
+		if !live[seed] {
+			add(seed)
 		}
 	}
 	return addresses
 }
 
+// hubsToContact returns the hubs of this VM's zone, and if it is one of them, one
+// hub of each other zone in turns. If it knows no live VM of a zone, it tries one
+// that was live before: the zones must find each other again after all hubs were
+// lost at once.
+func (cr *Cluster) hubsToContact(now time.Time, vms []machine.EntryVM) []machine.EntryVM {
+	hubs := machine.Hubs(now, cr.Self.Zone, vms)
+	if !machine.IsHub(now, cr.Self, vms) {
+		return hubs
+	}
+	for _, zone := range zonesOf(vms) {
+		if zone == cr.Self.Zone {
+			continue
+		}
+		far := machine.Hubs(now, zone, vms)
+		if len(far) == 0 {
+			far = slices.DeleteFunc(slices.Clone(vms), func(vm machine.EntryVM) bool { return vm.Zone != zone })
+		}
+		hubs = append(hubs, far[cr.rounds%len(far)])
+	}
+	return hubs
+}
+
+// zonesOf returns the zones of entry VMs, sorted.
+func zonesOf(vms []machine.EntryVM) []string {
+	zones := map[string]bool{}
+	for _, vm := range vms {
+		zones[vm.Zone] = true
+	}
+	return slices.Sorted(maps.Keys(zones))
+}
+
+// nextPartner returns the address of a random live member, for partnerRounds rounds
+// the same. It keeps news flowing if the VMs disagree on the hubs.
+func (cr *Cluster) nextPartner(now time.Time, vms []machine.EntryVM) string {
+	cr.rounds++
+	turn := cr.rounds / partnerRounds
+	var near, all []string
+	for _, vm := range vms {
+		if vm.Name == cr.Self.Name || !vm.IsLive(now) {
+			continue
+		}
+		all = append(all, vm.EntryAddress)
+		if vm.Zone == cr.Self.Zone {
+			near = append(near, vm.EntryAddress)
+		}
+	}
+	if cr.rounds%partnerRounds != 0 && slices.Contains(all, cr.partner) {
+		return cr.partner
+	}
+	if turn%farPartnerTurn == 0 || len(near) == 0 {
+		near = all
+	}
+	cr.partner = ""
+	if len(near) > 0 {
+		cr.partner = near[rand.IntN(len(near))]
+	}
+	return cr.partner
+}
+
 // watcherAddress returns the address of an entry VM that watches the platform,
 // preferably in this VM's zone; empty if there is none.
-func (cr *Cluster) watcherAddress(now time.Time) string {
+func (cr *Cluster) watcherAddress(now time.Time, vms []machine.EntryVM) string {
 	address := ""
-	for _, vm := range machine.Watchers(now, cr.Members(now)) {
+	for _, vm := range machine.Watchers(now, vms) {
 		if vm.Name != cr.Self.Name && (address == "" || vm.Zone == cr.Self.Zone) {
 			address = vm.EntryAddress
 		}
@@ -275,7 +381,7 @@
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	sentAt := time.Now()
-	reply, err := cr.Transport.Exchange(ctx, address, cr.Heartbeat(sentAt))
+	reply, err := cr.Transport.Exchange(ctx, address, cr.Heartbeat(sentAt, cr.zoneOf(address)))
 	if err != nil {
 		if ctx.Err() == nil {
 			events.PeerFailed.Log(cr.Log, zap.String("address", address), zap.Error(err))
@@ -290,6 +396,17 @@
 	cr.handleReply(ctx, sentAt, address, reply)
 }
 
+// zoneOf returns the zone of the member with an entry address; empty if it is not
+// known.
+func (cr *Cluster) zoneOf(address string) string {
+	for _, mb := range *cr.members.Load() {
+		if mb.EntryAddress == address {
+			return mb.Zone
+		}
+	}
+	return ""
+}
+
 // ConfirmedAt returns when the platform last confirmed the view, to this
 // process or to a peer; the zero time if it never did.
 func (cr *Cluster) ConfirmedAt() time.Time {
@@ -321,8 +438,8 @@
 	return min(ageMillis(now, cr.ConfirmedAt()), neverConfirmed-1)
 }
 
-// Heartbeat returns the heartbeat that this process sends.
-func (cr *Cluster) Heartbeat(now time.Time) *entrypb.Heartbeat {
+// Heartbeat returns the heartbeat that this process sends to an entry VM in a zone.
+func (cr *Cluster) Heartbeat(now time.Time, zone string) *entrypb.Heartbeat {
 	own, cp := cr.OwnRecord(now), cr.Replica.Current()
 	hb := &entrypb.Heartbeat{
 		Sender:       encodeMember(now, own),
@@ -333,6 +450,11 @@
 		Digest:       cp.Digest,
 	}
 	hb.Members = sampleMembers(now, *cr.members.Load())
+	for _, vm := range cr.newsFor(now, zone) {
+		if !slices.ContainsFunc(hb.Members, func(mb *entrypb.Member) bool { return mb.Name == vm.Name }) {
+			hb.Members = append(hb.Members, encodeMember(now, vm))
+		}
+	}
 	hb.Departures = cr.encodeDepartures(now)
 	for fingerprint, cs := range cr.Quarantine.Crashes() {
 		hb.Quarantines = append(hb.Quarantines, &entrypb.Quarantine{Fingerprint: fingerprint, Servers: cs.Servers})
@@ -340,6 +462,29 @@
 	return hb
 }
 
+// newsFor returns the members that an entry VM in a zone needs to know, in a large
+// cluster: the hubs of its zone, and from a hub the representatives of zones. A hub
+// passes those of all zones on within its own zone, and those of its own zone to
+// others.
+func (cr *Cluster) newsFor(now time.Time, zone string) []machine.EntryVM {
+	vms := cr.recentMembers(now)
+	if len(vms) <= smallCluster+1 {
+		return nil
+	}
+	news := machine.Hubs(now, zone, vms)
+	if !machine.IsHub(now, cr.Self, vms) {
+		return news
+	}
+	if zone != cr.Self.Zone {
+		news = append(news, machine.Hubs(now, cr.Self.Zone, vms)...)
+		return append(news, machine.Representatives(now, cr.Self.Zone, vms)...)
+	}
+	for _, each := range zonesOf(vms) {
+		news = append(news, machine.Representatives(now, each, vms)...)
+	}
+	return news
+}
+
 // sampleMembers returns up to sampleSize live members that are not leaving and up
 // to leavingSampleSize that are. The random order of map iteration selects them.
 func sampleMembers(now time.Time, known members) []*entrypb.Member {
@@ -370,7 +515,7 @@
 		cr.mergeHeartbeat(now, hb)
 		cr.catchUpFromSender(now, hb)
 	}
-	return cr.Heartbeat(now)
+	return cr.Heartbeat(now, hb.GetSender().GetZone())
 }
 
 // catchUpFromSender starts an exchange with the sender of a heartbeat if this
@@ -493,7 +638,7 @@
 	return &entrypb.Member{
 		Name: vm.Name, Zone: vm.Zone, CallerAddress: vm.CallerAddress, OperatorAddress: vm.OperatorAddress,
 		EntryAddress: vm.EntryAddress, Incarnation: vm.Incarnation, Leaving: vm.Leaving, HeardMs: ageMillis(now, vm.LastHeartbeat),
-		Capacity: vm.Capacity, Load: vm.Load,
+		Capacity: vm.Capacity, Load: vm.Load, Version: vm.Version, Digest: vm.Digest,
 	}
 }
 
@@ -502,6 +647,6 @@
 		Name: mb.GetName(), Zone: mb.GetZone(), CallerAddress: mb.GetCallerAddress(), OperatorAddress: mb.GetOperatorAddress(),
 		EntryAddress: mb.GetEntryAddress(), Incarnation: mb.GetIncarnation(), Leaving: mb.GetLeaving(),
 		LastHeartbeat: now.Add(-time.Duration(mb.GetHeardMs()) * time.Millisecond),
-		Capacity:      mb.GetCapacity(), Load: mb.GetLoad(),
+		Capacity:      mb.GetCapacity(), Load: mb.GetLoad(), Version: mb.GetVersion(), Digest: mb.GetDigest(),
 	}
 }
--- a/internal/peer/entry/cluster_test.go
+++ b/internal/peer/entry/cluster_test.go
@@ -31,6 +31,8 @@
 	// unreachable holds the addresses that can't be reached.
 	unreachable  map[string]bool
 	bytes, calls atomic.Int64
+	// farBytes counts the bytes of heartbeats between zones.
+	farBytes atomic.Int64
 }
 
 var errUnreachable = errors.New("address is unreachable")
@@ -68,7 +70,11 @@
 	if err := roundTrip(mm, hb, arrived); err != nil {
 		return nil, err
 	}
-	return reply, roundTrip(mm, cr.HandleHeartbeat(time.Now(), arrived), reply)
+	err = roundTrip(mm, cr.HandleHeartbeat(time.Now(), arrived), reply)
+	if hb.Sender.Zone != cr.Self.Zone {
+		mm.farBytes.Add(int64(proto.Size(arrived) + proto.Size(reply)))
+	}
+	return reply, err
 }
 
 func (mm *memTransport) Pull(_ context.Context, address string, rq *entrypb.PullRequest) (*entrypb.PullReply, error) {
@@ -250,13 +256,13 @@
 	}
 	// The unconfirmed process sends the first heartbeat, so that its peer knows
 	// it before it receives a confirmation.
-	confirmed.mergeHeartbeat(time.Now(), unconfirmed.Heartbeat(time.Now()))
+	confirmed.mergeHeartbeat(time.Now(), unconfirmed.Heartbeat(time.Now(), ""))
 	assert.Assert(t, !ready(unconfirmed, unconfirmed.Self.Name))
 	assert.Assert(t, !ready(confirmed, unconfirmed.Self.Name))
 	assert.Assert(t, ready(confirmed, confirmed.Self.Name))
 	unconfirmed.round(t.Context())
 	assert.Assert(t, ready(unconfirmed, unconfirmed.Self.Name), "the peer relayed the confirmation")
-	confirmed.mergeHeartbeat(time.Now(), unconfirmed.Heartbeat(time.Now()))
+	confirmed.mergeHeartbeat(time.Now(), unconfirmed.Heartbeat(time.Now(), ""))
 	assert.Assert(t, ready(confirmed, unconfirmed.Self.Name))
 	// Readiness survives a later loss of the confirmation.
 	unconfirmed.Confirmation = &view.Confirmation{}
--- a/internal/peer/entry/departures.go
+++ b/internal/peer/entry/departures.go
@@ -55,12 +55,18 @@
 	if _, known := (*cr.departures.Load())[dk]; known {
 		return false
 	}
+	added := false
 	cr.departures.Update(func(old departures) departures {
+		if _, known := old[dk]; known {
+			// Another heartbeat brought it meanwhile.
+			return old
+		}
+		added = true
 		next := maps.Clone(old)
 		next[dk] = reportedAt
 		return next
 	})
-	return true
+	return added
 }
 
 // mergeDepartures takes over the departures that a peer reports, and passes those
--- a/internal/peer/entry/departures_test.go
+++ b/internal/peer/entry/departures_test.go
@@ -63,7 +63,7 @@
 	for i := range 2 * maxDepartures {
 		all[0].ReportDeparture(now.Add(-time.Duration(i)*time.Millisecond), machine.Departure{Server: fmt.Sprintf("i-%d", i)})
 	}
-	listed := all[0].Heartbeat(now).Departures
+	listed := all[0].Heartbeat(now, "").Departures
 	assert.Equal(t, len(listed), maxDepartures)
 	assert.Equal(t, listed[0].Server, "i-0")
 	assert.Equal(t, listed[0].StartedMs, int64(0))
--- a/internal/peer/entry/fuzz_test.go
+++ b/internal/peer/entry/fuzz_test.go
@@ -13,7 +13,8 @@
 func FuzzHeartbeat(f *testing.F) {
 	_, all := newClusters(2)
 	seeds := []*entrypb.Heartbeat{
-		{}, all[1].Heartbeat(time.Now()),
+		{},
+		all[1].Heartbeat(time.Now(), ""),
 		{Sender: &entrypb.Member{Name: "x", HeardMs: 1 << 31}, Members: []*entrypb.Member{{}}, Departures: []*entrypb.Departure{{StartedMs: -1 << 62, AgeMs: 1 << 31}, {Server: "a"}}},
 	}
 	for _, hb := range seeds {
--- a/internal/peer/entry/grpc.go
+++ b/internal/peer/entry/grpc.go
@@ -16,8 +16,16 @@
 	"daisystage.example/daisystage/internal/wire/entrypb"
 )
 
-// maxMessageSize limits a received message, in bytes.
-const maxMessageSize = 64 << 20
+const (
+	// maxMessageSize limits a received message, in bytes.
+	maxMessageSize = 64 << 20
+	// bufferSize is the size of the buffers of a connection, in bytes. Heartbeats
+	// have a few kilobytes, and a process has connections to many peers.
+	bufferSize = 4 << 10
+	// maxIdle is how long a connection is kept without calls. Partners change after
+	// some rounds of heartbeats.
+	maxIdle = 5 * time.Second
+)
 
 // GRPCTransport implements Transport over gRPC. Close it after use.
 type GRPCTransport struct {
@@ -34,6 +42,10 @@
 	*grpc.ClientConn
 	// answeredAt is when a call was last answered, in Unix nanoseconds.
 	answeredAt atomic.Int64
+	// calledAt is when a call was last made, and calls the number of those in
+	// flight. GRPCTransport.lock guards them.
+	calledAt time.Time
+	calls    int
 }
 
 // Close closes all connections.
@@ -46,9 +58,35 @@
 	gt.conns = nil
 }
 
-func (gt *GRPCTransport) conn(address string) (*peerConn, error) {
+// acquire returns the connection to an address for one call, and closes those that
+// were idle for long.
+func (gt *GRPCTransport) acquire(now time.Time, address string) (*peerConn, error) {
 	gt.lock.Lock()
 	defer gt.lock.Unlock()
+	pc, err := gt.connect(address)
+	if err != nil {
+		return nil, err
+	}
+	pc.calledAt = now
+	pc.calls++
+	for other, idle := range gt.conns {
+		if idle.calls == 0 && now.Sub(idle.calledAt) > maxIdle {
+			delete(gt.conns, other)
+			_ = idle.Close()
+		}
+	}
+	return pc, nil
+}
+
+func (gt *GRPCTransport) release(pc *peerConn) {
+	gt.lock.Lock()
+	defer gt.lock.Unlock()
+	pc.calls--
+}
+
+// connect returns the connection to an address, which it makes if there is none.
+// The lock is held.
+func (gt *GRPCTransport) connect(address string) (*peerConn, error) {
 	if pc, ok := gt.conns[address]; ok {
 		return pc, nil
 	}
@@ -58,6 +96,7 @@
 		grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
 			return gt.Dial(ctx, "tcp", address)
 		}),
+		grpc.WithReadBufferSize(bufferSize), grpc.WithWriteBufferSize(bufferSize), grpc.WithSharedWriteBuffer(true),
 		grpc.WithIdleTimeout(0))
 	if err != nil {
 		return nil, fmt.Errorf("connect to entry VM %s: %w", address, err)
@@ -89,11 +128,12 @@
 // call makes one call to an entry VM.
 func call[R any](gt *GRPCTransport, address string, do func(entrypb.EntryClient) (R, error)) (R, error) {
 	var none R
-	pc, err := gt.conn(address)
+	sentAt := time.Now()
+	pc, err := gt.acquire(sentAt, address)
 	if err != nil {
 		return none, err
 	}
-	sentAt := time.Now()
+	defer gt.release(pc)
 	reply, err := do(entrypb.NewEntryClient(pc))
 	if err != nil {
 		gt.closeIfDead(address, pc, sentAt, err)
@@ -125,7 +165,8 @@
 
 // NewServer returns a gRPC server for a cluster.
 func NewServer(cr *Cluster) *grpc.Server {
-	gs := grpc.NewServer(grpc.MaxRecvMsgSize(maxMessageSize))
+	gs := grpc.NewServer(grpc.MaxRecvMsgSize(maxMessageSize),
+		grpc.ReadBufferSize(bufferSize), grpc.WriteBufferSize(bufferSize), grpc.SharedWriteBuffer(true))
 	entrypb.RegisterEntryServer(gs, &Server{Cluster: cr})
 	return gs
 }
--- /dev/null
+++ b/internal/peer/entry/membership_test.go
@@ -0,0 +1,162 @@
+package entry
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"daisystage.example/daisystage/internal/world/machine"
+)
+
+// capacities of the VMs of a zone, in turn.
+var capacities = []uint32{1280, 2667, 640, 5333}
+
+// newZonedClusters returns confirmed clusters in zones, with one seed in each of
+// the first three zones.
+func newZonedClusters(t *testing.T, count, zones int) (*memTransport, []*Cluster) {
+	t.Helper()
+	mm, all := newClusters(count)
+	for i, cr := range all {
+		cr.Self.Zone = fmt.Sprintf("zone-%d", i%zones)
+		cr.Self.Capacity = capacities[i/zones%len(capacities)]
+		cr.SetSeeds([]string{all[0].Self.EntryAddress, all[1].Self.EntryAddress, all[2].Self.EntryAddress})
+		apply(cr, settingObject(1, "300ms"))
+		cr.Confirmation.Confirm(time.Now())
+	}
+	return mm, all
+}
+
+// runRounds lets all clusters but those that are stopped run rounds, one a second.
+func runRounds(t *testing.T, all []*Cluster, stopped map[string]bool, rounds int) {
+	t.Helper()
+	for range rounds {
+		for _, cr := range all {
+			if !stopped[cr.Self.Name] {
+				cr.round(t.Context())
+			}
+		}
+		time.Sleep(machine.HeartbeatInterval)
+	}
+}
+
+// selectedBy returns the names that a cluster selects for the callers of each zone.
+func selectedBy(cr *Cluster, zones int) string {
+	now := time.Now()
+	var text strings.Builder
+	for zn := range zones {
+		for _, vm := range machine.SelectEntryVMs(now, fmt.Sprintf("zone-%d", zn), cr.Members(now)) {
+			text.WriteString(vm.Name + " ")
+		}
+		text.WriteString("; ")
+	}
+	return text.String()
+}
+
+// wantSelected returns what a cluster would select that knows all running VMs.
+func wantSelected(all []*Cluster, stopped map[string]bool, zones int) string {
+	now := time.Now()
+	var vms []machine.EntryVM
+	for _, cr := range all {
+		if !stopped[cr.Self.Name] {
+			vms = append(vms, cr.OwnRecord(now))
+		}
+	}
+	var text strings.Builder
+	for zn := range zones {
+		for _, vm := range machine.SelectEntryVMs(now, fmt.Sprintf("zone-%d", zn), vms) {
+			text.WriteString(vm.Name + " ")
+		}
+		text.WriteString("; ")
+	}
+	return text.String()
+}
+
+// TestAllVMsSelectTheSame compares what each of many VMs selects for the callers of
+// each zone with the selection by full knowledge: after the start, and after the
+// loss of the selected VMs, of hubs and of a whole zone. VMs that disagree send
+// callers everywhere, and each that takes itself for selected opens connections to
+// all servers.
+func TestAllVMsSelectTheSame(t *testing.T) {
+	tests := []struct{ count, zones int }{{9, 3}, {30, 3}, {85, 4}, {195, 5}}
+	for _, tt := range tests {
+		t.Run(fmt.Sprintf("%d VMs in %d zones", tt.count, tt.zones), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				mm, all := newZonedClusters(t, tt.count, tt.zones)
+				stopped := map[string]bool{}
+				settle := func(what string, rounds int) {
+					runRounds(t, all, stopped, rounds)
+					want := wantSelected(all, stopped, tt.zones)
+					for _, cr := range all {
+						if !stopped[cr.Self.Name] {
+							assert.Equal(t, selectedBy(cr, tt.zones), want, "%s, seen by %s", what, cr.Self.Name)
+						}
+					}
+				}
+				stop := func(cr *Cluster) {
+					stopped[cr.Self.Name] = true
+					mm.unreachable[cr.Self.EntryAddress] = true
+				}
+				// Traffic begins 14 s after the VMs start.
+				settle("after the start", 10)
+				for _, cr := range all {
+					if strings.Contains(selectedBy(all[0], tt.zones), cr.Self.Name+" ") {
+						stop(cr)
+					}
+				}
+				settle("after the loss of the selected VMs", 10)
+				for i, cr := range all {
+					if i < 2*tt.zones {
+						stop(cr)
+					}
+				}
+				settle("after the loss of the first VMs of each zone", 10)
+				if tt.count < 30 {
+					return
+				}
+				for _, cr := range all {
+					if cr.Self.Zone == "zone-0" {
+						stop(cr)
+					}
+				}
+				settle("after the loss of a zone", 10)
+				for _, cr := range all {
+					if cr.Self.Zone == "zone-0" {
+						delete(stopped, cr.Self.Name)
+						delete(mm.unreachable, cr.Self.EntryAddress)
+					}
+				}
+				settle("after the return of the zone", 10)
+			})
+		})
+	}
+}
+
+// TestHeartbeatsCostTheSameAtAnySize counts messages and bytes of a round, and those
+// between zones, which are paid for.
+func TestHeartbeatsCostTheSameAtAnySize(t *testing.T) {
+	var perVM, between []float64
+	for _, count := range []int{30, 100, 200} {
+		synctest.Test(t, func(t *testing.T) {
+			mm, all := newZonedClusters(t, count, 3)
+			runRounds(t, all, nil, 10)
+			mm.bytes.Store(0)
+			mm.farBytes.Store(0)
+			mm.calls.Store(0)
+			const rounds = 32
+			runRounds(t, all, nil, rounds)
+			sent := float64(mm.bytes.Load()) / float64(rounds*count)
+			far := float64(mm.farBytes.Load()) / rounds
+			t.Logf("%d VMs: %.1f messages and %.0f B a VM and round, %.0f B a round between zones", count, float64(mm.calls.Load())/float64(rounds*count), sent, far)
+			perVM, between = append(perVM, sent), append(between, far)
+		})
+	}
+	assert.Assert(t, slices.Max(perVM) < 1.5*slices.Min(perVM), "%v", perVM)
+	// The hubs' share is the same at any size; only partners in other zones add to
+	// it with the number of VMs.
+	assert.Assert(t, between[2] < 4*between[0], "%v", between)
+}
--- /dev/null
+++ b/internal/world/machine/hubs.go
@@ -0,0 +1,47 @@
+package machine
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	// hubsPerZone is the number of hubs of a zone, so that the loss of one does not
+	// interrupt the membership.
+	hubsPerZone = 2
+	// spareRepresentatives is the number of VMs that a zone offers beyond those that
+	// its load needs, so that a lost one is replaced without waiting for news.
+	spareRepresentatives = 2
+)
+
+// Hubs returns the entry VMs that collect the heartbeats of a zone and pass its
+// membership on: the first ones by name that are live and not leaving.
+func Hubs(now time.Time, zone string, vms []EntryVM) []EntryVM {
+	var hubs []EntryVM
+	for _, vm := range vms {
+		if vm.Zone == zone && vm.IsLive(now) && !vm.Leaving {
+			hubs = append(hubs, vm)
+		}
+	}
+	slices.SortFunc(hubs, func(a, b EntryVM) int { return strings.Compare(a.Name, b.Name) })
+	return hubs[:min(len(hubs), hubsPerZone)]
+}
+
+// IsHub reports whether a VM is a hub of its zone.
+func IsHub(now time.Time, vm EntryVM, vms []EntryVM) bool {
+	return slices.ContainsFunc(Hubs(now, vm.Zone, vms), func(hub EntryVM) bool { return hub.Name == vm.Name })
+}
+
+// Representatives returns the entry VMs that others need to know of a zone: those
+// that SelectEntryVMs returns for its callers, and spareRepresentatives more.
+func Representatives(now time.Time, zone string, vms []EntryVM) []EntryVM {
+	var ready []EntryVM
+	for _, vm := range vms {
+		if vm.Zone == zone && vm.IsReady(now) {
+			ready = append(ready, vm)
+		}
+	}
+	selected := len(selectLargest(ready))
+	return ready[:min(selected+spareRepresentatives, len(ready))]
+}
--- a/internal/world/machine/selection.go
+++ b/internal/world/machine/selection.go
@@ -71,7 +71,7 @@
 	return live
 }
 
-// selectLargest returns the largest VMs whose total capacity covers the load of
+// selectLargest sorts vms by size and returns the largest whose total capacity covers the load of
 // all vms with headroom, at least minSelected if there are as many.
 func selectLargest(vms []EntryVM) []EntryVM {
 	needed := uint64(0)
