Bound the framing of an answer by what it has sent

Change: 4 MiB of body, which is four times the longest value of the store, and framing bytes are allowed as the content arrives.

--- a/internal/peer/backend/conn.go
+++ b/internal/peer/backend/conn.go
@@ -27,7 +27,7 @@
 	// socket buffers, so that a write does not block until the server reads.
 	smallRequestSize = 8 << 10
 	// maxAnswerSize limits the body of one answer, in bytes.
-	maxAnswerSize = 16 << 20
+	maxAnswerSize = 4 << 20
 	// maxHeadSize limits the head of one answer, in bytes, together with the
 	// informational answers before it.
 	maxHeadSize = 64 << 10
@@ -192,13 +192,7 @@
 }
 
 func (cn *conn) readBody(rs *http.Response) error {
-	cn.readable = maxFramingSize
-	limit := int64(maxAnswerSize)
-	if rs.ContentLength >= 0 {
-		limit = min(limit, rs.ContentLength)
-	}
-	cn.readable += limit + limit/framingDivisor
-	body, err := quota.ReadAll(rs.Body, rs.ContentLength, maxAnswerSize, cn.memory)
+	body, err := quota.ReadAll(&bodyReader{conn: cn, body: rs.Body, framing: maxFramingSize}, rs.ContentLength, maxAnswerSize, cn.memory)
 	if err != nil {
 		return fmt.Errorf("read body: %w", asNoAnswer(err))
 	}
@@ -209,6 +203,24 @@
 	return nil
 }
 
+// bodyReader reads the body of an answer. It bounds the bytes beside the content,
+// such as the sizes of chunks.
+type bodyReader struct {
+	conn *conn
+	body io.Reader
+	// framing is the number of bytes beside the content that may still be read.
+	framing int64
+}
+
+// Read implements io.Reader.
+func (br *bodyReader) Read(buffer []byte) (int, error) {
+	before := br.framing + int64(len(buffer))
+	br.conn.readable = before
+	count, err := br.body.Read(buffer)
+	br.framing += int64(count) + int64(count)/framingDivisor - (before - br.conn.readable)
+	return count, err
+}
+
 // asNoAnswer returns an error of reading an answer, as errNoAnswer if the server
 // sent bytes that are no answer. Other errors are those of the connection, and
 // quota.ErrExhausted.
