Answer the first call of a connection earlier, list stale at the first start

And 195 VMs that start at once each listed and watched the store before they knew of each other.

Change: 24 ms in place of 14 are kept before the goal for the first call of a connection.

--- a/internal/node/forwardvm/config.go
+++ b/internal/node/forwardvm/config.go
@@ -36,6 +36,9 @@
 	LinkMbps float64
 	// MemoryMB is the memory of this VM in megabytes; 0 if unknown.
 	MemoryMB int
+	// FirstStart is set if all entry VMs start for the first time, so that there
+	// are no callers yet.
+	FirstStart bool
 	// DrainFor is how long a leaving server continues to serve.
 	DrainFor time.Duration
 	// ApplyWithin is the time within which a change of the configuration must
--- a/internal/node/forwardvm/drain.go
+++ b/internal/node/forwardvm/drain.go
@@ -64,13 +64,28 @@
 type drainConn struct {
 	net.Conn
 	listener *drainListener
+	// requests counts the requests on the connection.
+	requests atomic.Int64
 	// isIdle is set while the connection waits for a request, kept after Close left
 	// it open.
 	isIdle, kept atomic.Bool
 }
 
+// connKey is the key of the *drainConn in the context of a request.
+type connKey struct{}
+
+// IsFirstRequest reports whether the request with a context is the first one on its
+// connection.
+func IsFirstRequest(ctx context.Context) bool {
+	dc, ok := ctx.Value(connKey{}).(*drainConn)
+	return ok && dc.requests.Load() == 1
+}
+
 // setState is the ConnState hook of the server.
 func (dc *drainConn) setState(state http.ConnState) {
+	if state == http.StateActive {
+		dc.requests.Add(1)
+	}
 	dc.isIdle.Store(state == http.StateIdle || state == http.StateNew)
 }
 
--- a/internal/node/forwardvm/drain_test.go
+++ b/internal/node/forwardvm/drain_test.go
@@ -114,3 +114,24 @@
 	}
 	assert.Equal(t, dl.kept.Load(), int64(0))
 }
+
+func TestFirstRequestOfConnection(t *testing.T) {
+	var first []bool
+	hs, dl, err := newCallerServer("127.0.0.1:0", http.HandlerFunc(func(_ http.ResponseWriter, rq *http.Request) {
+		first = append(first, IsFirstRequest(rq.Context()))
+	}))
+	assert.NilError(t, err)
+	go func() { _ = hs.Serve(dl) }()
+	defer hs.Close()
+	for range 2 {
+		client := &http.Client{Transport: &http.Transport{}}
+		for range 3 {
+			rs, err := client.Get("http://" + dl.Addr().String())
+			assert.NilError(t, err)
+			assert.NilError(t, rs.Body.Close())
+		}
+		client.CloseIdleConnections()
+	}
+	assert.DeepEqual(t, first, []bool{true, false, false, true, false, false})
+	assert.Assert(t, !IsFirstRequest(t.Context()))
+}
--- a/internal/node/forwardvm/process.go
+++ b/internal/node/forwardvm/process.go
@@ -56,6 +56,10 @@
 	// watchBatchDelay is the pause before the next watch, so that changes in
 	// quick succession arrive in one answer.
 	watchBatchDelay = 150 * time.Millisecond
+	// firstWatchDelay is the time between the first list and the first watch if all
+	// entry VMs start for the first time. It includes two rounds of heartbeats, after
+	// which most know that they need not watch.
+	firstWatchDelay = 3 * machine.HeartbeatInterval / 2
 	// An expiring server, whose record disappeared, is used for a while before it
 	// is removed. removalMargin is the time between its removal and the moment by
 	// which it must get no more work, and maxRemovalDelay bounds how long it is
@@ -205,8 +209,11 @@
 		events.BadObjectRefused.Log(ps.Log, zap.String("error", entry.Problem))
 	}
 	ps.target = &fleetTarget{process: ps, codec: fe.Codec}
-	ps.watcher = platform.NewWatcher(fe.Store, []string{view.PrefixTable, view.PrefixFleetServers}, ps.target,
-		platform.WatchPacing{MaxWait: randomWatchWait, Pause: watchBatchDelay}, ps.Log)
+	pacing := platform.WatchPacing{MaxWait: randomWatchWait, Pause: watchBatchDelay}
+	if cg.FirstStart {
+		pacing.FirstPause = firstWatchDelay
+	}
+	ps.watcher = platform.NewWatcher(fe.Store, []string{view.PrefixTable, view.PrefixFleetServers}, ps.target, pacing, ps.Log)
 	ps.Cluster = &entry.Cluster{
 		Self: machine.EntryVM{
 			Name: cg.Name, Zone: cg.Zone, CallerAddress: cg.CallerAddress,
@@ -306,6 +313,7 @@
 		return nil, nil, fmt.Errorf("listen on %s: %w", address, err)
 	}
 	hs := newHTTPServer(handler)
+	hs.ConnContext = func(ctx context.Context, raw net.Conn) context.Context { return context.WithValue(ctx, connKey{}, raw) }
 	hs.ConnState = func(raw net.Conn, state http.ConnState) { raw.(*drainConn).setState(state) }
 	return hs, &drainListener{Listener: ls}, nil
 }
--- a/internal/node/forwardvm/upkeep.go
+++ b/internal/node/forwardvm/upkeep.go
@@ -111,7 +111,12 @@
 		return true
 	}
 	maxAge := min(ps.settings.Load().ApplyWithin, ps.settings.Load().DrainFor) * peerWaitPercent / 100
-	if now.Sub(ps.Confirmation.AsOf()) <= maxAge {
+	asOf := ps.Confirmation.AsOf()
+	if ps.Config.FirstStart && asOf.Before(ps.startedAt) {
+		// The others have just started, too, and confirm the platform's state soon.
+		asOf = ps.startedAt
+	}
+	if now.Sub(asOf) <= maxAge {
 		return false
 	}
 	turn := int(now.UnixNano()/int64(retryTurn)) % len(members)
--- a/internal/peer/platform/watcher.go
+++ b/internal/peer/platform/watcher.go
@@ -45,6 +45,13 @@
 	Confirm(asOf time.Time)
 }
 
+// StaleLister is implemented by a Reader that can also list what its platform
+// answers at a lower cost from a copy, which may be seconds old.
+type StaleLister interface {
+	// ListStale is like Reader.List.
+	ListStale(ctx context.Context, prefix string) ([]view.Object, int64, error)
+}
+
 // WatchPacing determines how often a Watcher calls the platform.
 type WatchPacing struct {
 	// MaxWait returns how long a watch of a prefix waits for a change. A watch may
@@ -54,6 +61,10 @@
 	// Pause is the time between an answer and the next watch, so that changes in
 	// quick succession arrive in one answer.
 	Pause time.Duration
+	// FirstPause, if it is not 0, replaces the pause after the first list, which is
+	// then read by ListStale. The time lets many processes that start at once learn
+	// from each other which of them need to watch.
+	FirstPause time.Duration
 }
 
 // Defaults returns pacing with waits short enough that the answers keep the
@@ -243,22 +254,33 @@
 func (wt *Watcher) runPrefix(ctx context.Context, prefix string) {
 	from := int64(-1)
 	backoff := firstBackoff
+	isFirst := wt.Pacing.FirstPause > 0
 	for ctx.Err() == nil {
 		if wt.waitActive(ctx) {
 			from, backoff = -1, firstBackoff
+			// The list that follows answers any request for one.
+			select {
+			case <-wt.refresh[prefix]:
+			default:
+			}
 			continue
 		}
-		next, refreshed, err := wt.stepUnlessRefreshed(ctx, prefix, from)
+		next, refreshed, err := wt.stepUnlessRefreshed(ctx, prefix, from, isFirst)
 		if refreshed {
 			from = -1
 			continue
 		}
 		if err == nil {
-			from, backoff = next, firstBackoff
+			pause := wt.Pacing.Pause
+			if from < 0 && isFirst {
+				pause = max(pause, wt.Pacing.FirstPause)
+			}
+			from, backoff, isFirst = next, firstBackoff, false
 			wt.markAnswered()
-			sleep(ctx, wt.Pacing.Pause)
+			sleep(ctx, pause)
 			continue
 		}
+		isFirst = false
 		if errors.Is(err, ErrCompacted) {
 			from = -1
 			wt.refreshOthers(prefix)
@@ -276,7 +298,11 @@
 
 // stepUnlessRefreshed runs step. If a refresh of the prefix is requested during
 // a watch, it cancels the watch and reports refreshed.
-func (wt *Watcher) stepUnlessRefreshed(ctx context.Context, prefix string, from int64) (next int64, refreshed bool, err error) {
+func (wt *Watcher) stepUnlessRefreshed(ctx context.Context, prefix string, from int64, isFirst bool) (next int64, refreshed bool, err error) {
+	if stale, ok := wt.Store.(StaleLister); ok && isFirst && from < 0 {
+		next, err = wt.listStale(ctx, stale, prefix)
+		return next, false, err
+	}
 	if from < 0 {
 		next, err = wt.step(ctx, prefix, from)
 		return next, false, err
@@ -333,6 +359,19 @@
 	}
 }
 
+// listStale applies a list that may be old. It confirms nothing and takes nothing
+// for deleted; the watch that follows brings what has changed since.
+func (wt *Watcher) listStale(ctx context.Context, store StaleLister, prefix string) (int64, error) {
+	objects, version, err := store.ListStale(ctx, prefix)
+	if err != nil {
+		return 0, err
+	}
+	wt.Target.Apply(time.Now(), objects)
+	// A short watch confirms the list soon.
+	wt.setSlow(prefix, true)
+	return version, nil
+}
+
 // step lists the prefix if from is negative, else it watches once. It returns
 // the version from which the next watch continues.
 func (wt *Watcher) step(ctx context.Context, prefix string, from int64) (int64, error) {
--- a/internal/peer/platform/watcher_test.go
+++ b/internal/peer/platform/watcher_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -147,3 +148,64 @@
 		assert.Assert(t, !wt.FailedWithin(time.Now(), 5*time.Second))
 	})
 }
+
+// staleReader is a fakeReader that also answers lists from a copy.
+type staleReader struct {
+	*fakeReader
+	stale map[string]int
+}
+
+func (sr staleReader) ListStale(_ context.Context, prefix string) ([]view.Object, int64, error) {
+	sr.lock.Lock()
+	defer sr.lock.Unlock()
+	sr.stale[prefix]++
+	return []view.Object{{Key: prefix + "main", Version: sr.version - 1}}, sr.version - 1, nil
+}
+
+// TestFirstListIsStaleAndConfirmsNothing starts a watcher as at the first start of
+// all processes. It reads a copy at first, watches only after a pause, and is
+// confirmed by the watch alone. One that becomes inactive in the pause makes no
+// further calls.
+func TestFirstListIsStaleAndConfirmsNothing(t *testing.T) {
+	for _, staysActive := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			sr := staleReader{&fakeReader{version: 7, lists: map[string]int{}, compacted: map[string]bool{}}, map[string]int{}}
+			target := &countingTarget{}
+			wt := NewWatcher(sr, []string{"a/", "b/"}, target, WatchPacing{
+				MaxWait: func(string) time.Duration { return 2 * time.Second }, FirstPause: 1500 * time.Millisecond,
+			}, zap.NewNop())
+			ctx, cancel := context.WithCancel(t.Context())
+			ended := make(chan struct{})
+			go func() {
+				wt.Run(ctx)
+				close(ended)
+			}()
+			time.Sleep(time.Second)
+			assert.DeepEqual(t, sr.stale, map[string]int{"a/": 1, "b/": 1})
+			assert.Assert(t, !wt.IsCurrent())
+			assert.Equal(t, target.applied.Load(), int64(2))
+			wt.SetActive(staysActive)
+			time.Sleep(time.Second)
+			assert.Equal(t, wt.IsCurrent(), staysActive, "the first watch is short")
+			assert.Equal(t, len(sr.lists), 0)
+			if !staysActive {
+				wt.SetActive(true)
+				time.Sleep(time.Second)
+				assert.DeepEqual(t, sr.lists, map[string]int{"a/": 1, "b/": 1})
+			}
+			cancel()
+			<-ended
+		})
+	}
+}
+
+// countingTarget is a Target that counts the objects applied.
+type countingTarget struct{ applied atomic.Int64 }
+
+func (ct *countingTarget) Apply(_ time.Time, objects []view.Object) {
+	ct.applied.Add(int64(len(objects)))
+}
+
+func (*countingTarget) KeysOlderThan(string, int64) []string { return nil }
+
+func (*countingTarget) Confirm(time.Time) {}
--- a/internal/query/forward/forward.go
+++ b/internal/query/forward/forward.go
@@ -39,6 +39,9 @@
 	Message Message
 	// Deadline is how long the caller waits; 0 if it set none.
 	Deadline time.Duration
+	// IsFirst is set for the first call on a connection: before it, the caller
+	// looked the entry VM up and connected.
+	IsFirst bool
 	// Memory holds the memory of the call and its answers; the front end ends it
 	// when the reply is written. Nil sets no bound.
 	Memory *quota.Lease
@@ -132,9 +135,13 @@
 	replyMargin = 15 * time.Millisecond
 	// goalMargin is reserved before a route's latency goal, for the network
 	// between caller and entry VM and for processing. It is at most
-	// maxGoalMarginPercent of the goal.
-	goalMargin           = 14 * time.Millisecond
-	maxGoalMarginPercent = 25
+	// maxGoalMarginPercent of the goal. Before the first call on a connection the
+	// caller has spent two more round trips on connections to the directory and to
+	// this VM and one on the lookup, which firstGoalMargin covers.
+	goalMargin                = 14 * time.Millisecond
+	maxGoalMarginPercent      = 25
+	firstGoalMargin           = 24 * time.Millisecond
+	maxFirstGoalMarginPercent = 40
 	// minSendTime is the least remaining time with which a request is still sent.
 	minSendTime = 2 * time.Millisecond
 )
@@ -266,7 +273,7 @@
 		return nil, rf
 	}
 	if goal := rn.route.Goal; goal > 0 {
-		jb.PartialAfter = now.Add(goal - min(goalMargin, goal*maxGoalMarginPercent/100))
+		jb.PartialAfter = now.Add(goal - goalMarginOf(goal, rn.call.IsFirst))
 	}
 	rs := sv.Engine.Run(ctx, jb)
 	sv.recordSends(rn, rs)
@@ -296,6 +303,15 @@
 	return reply, nil
 }
 
+// goalMarginOf returns the time before a goal at which a partial answer is returned,
+// so that it reaches the caller in time.
+func goalMarginOf(goal time.Duration, isFirst bool) time.Duration {
+	if isFirst {
+		return min(firstGoalMargin, goal*maxFirstGoalMarginPercent/100)
+	}
+	return min(goalMargin, goal*maxGoalMarginPercent/100)
+}
+
 // recordSends adds the attempts of a job to the record and to AttemptsSent.
 func (sv *Service) recordSends(rn *run, rs scatter.Result[Answer]) {
 	sv.AttemptsSent.Add(int64(rs.Sends + rs.Hedges + rs.Retries))
--- a/internal/query/forward/forward_test.go
+++ b/internal/query/forward/forward_test.go
@@ -193,3 +193,29 @@
 		assert.Assert(t, bytes.Equal(tp.bytes(), want))
 	}
 }
+
+func TestGoalMargin(t *testing.T) {
+	tests := []struct {
+		goal    time.Duration
+		isFirst bool
+		want    time.Duration
+	}{
+		{100 * time.Millisecond, false, goalMargin},
+		{100 * time.Millisecond, true, firstGoalMargin},
+		{40 * time.Millisecond, false, 10 * time.Millisecond},
+		{40 * time.Millisecond, true, 16 * time.Millisecond},
+	}
+	for _, tt := range tests {
+		assert.Equal(t, goalMarginOf(tt.goal, tt.isFirst), tt.want)
+	}
+	fe := &fakeEngine{mayHaveRun: true, answer: func(shard string) scatter.PartResult[Answer] { return answeredPart(shard, "") }}
+	sv, _ := newService(t, fe)
+	for _, isFirst := range []bool{false, true} {
+		now := time.Now()
+		cl := newCall("/find/1", time.Second)
+		cl.IsFirst = isFirst
+		_, err := sv.Run(t.Context(), now, cl)
+		assert.NilError(t, err)
+		assert.Equal(t, fe.job.PartialAfter, now.Add(100*time.Millisecond-goalMarginOf(100*time.Millisecond, isFirst)))
+	}
+}
