Tell refused callers to return later, the longer nothing is served

Cause: a caller refused because no server took its request was told to return after 50 ms, whatever had happened before; in an outage of seconds it returned in vain, as often as it may, and was lost. Change: the delay is half of the time since the last answer of the route, from 50 ms to 1 s, spread by up to a quarter by the request's id.

--- a/internal/query/forward/forward.go
+++ b/internal/query/forward/forward.go
@@ -109,6 +109,7 @@
 type routeState struct {
 	latency  *link.Latency
 	splitter contract.Splitter
+	outage   outage
 }
 
 // Service answers calls. The exported fields are set before the first call and
@@ -128,6 +129,8 @@
 
 	// routes maps route names to *routeState.
 	routes sync.Map
+	// starting is the outage of a process without a configuration.
+	starting outage
 }
 
 const (
@@ -327,9 +330,11 @@
 	rc := rn.record
 	rc.Took = now.Sub(rn.started)
 	if refusal := asRefusal(err); refusal != nil {
+		sv.setRetryAfter(now, rn, refusal)
 		rc.Outcome, rc.Code, rc.Reason = refusal.Outcome, refusal.Code, refusal.Reason
 	}
 	if reply != nil {
+		rn.state.outage.end()
 		rc.Coverage = reply.Coverage
 		rc.Outcome = contract.Whole
 		if reply.Coverage.Answered < reply.Coverage.Total {
@@ -339,6 +344,18 @@
 	sv.Observer.CallFinished(now, rc)
 }
 
+// setRetryAfter tells the caller of a request that did not run when to return,
+// unless that is known.
+func (sv *Service) setRetryAfter(now time.Time, rn *run, rf *contract.Refusal) {
+	switch {
+	case rf.Outcome != contract.NotRun || rf.RetryAfter > 0:
+	case rf.Code == contract.CodeStarting:
+		rf.RetryAfter = sv.starting.retryAfter(now, rn.call.Message.ID, minRetryAfterStarting)
+	case rf.Code == contract.CodeNoServer:
+		rf.RetryAfter = rn.state.outage.retryAfter(now, rn.call.Message.ID, minRetryAfter)
+	}
+}
+
 // PublishLatencies publishes the routes' latency quantiles for hedging. The
 // owner calls it several times a second.
 func (sv *Service) PublishLatencies() {
--- a/internal/query/forward/retry_after.go
+++ b/internal/query/forward/retry_after.go
@@ -1,28 +1,63 @@
 package forward
 
 import (
+	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"daisystage.example/daisystage/internal/world/contract"
 )
 
 const (
-	// retryAfterStarting is the delay for a process that has no configuration yet.
-	// The process requests one several times a second.
-	retryAfterStarting = 300 * time.Millisecond
-	// retryAfterBusy is the delay when no server accepted the request: about the
-	// time that one answer takes.
-	retryAfterBusy = 50 * time.Millisecond
+	// minRetryAfterStarting is the least delay for a process that has no
+	// configuration yet. The process requests one several times a second.
+	minRetryAfterStarting = 300 * time.Millisecond
+	// minRetryAfter is the least delay when no server accepted the request: about
+	// the time that one answer takes.
+	minRetryAfter = 50 * time.Millisecond
+	// maxRetryAfter bounds the delay, so that callers notice the end of an outage
+	// soon.
+	maxRetryAfter = time.Second
+	// outageShare is the part of an outage so far that callers wait before they
+	// return: an outage that has lasted for long will probably not end at once, and
+	// each return in vain costs the caller a part of its time.
+	outageShare = 0.5
+	// retrySpread is the part of a delay by which it is lengthened at most, by the
+	// request's id, so that the refused callers do not return at one moment.
+	retrySpread = 0.25
 )
 
+// outage tracks since when all calls of a kind were refused as not run. It answers
+// loads in which nothing can be served for a while, such as the loss of all servers
+// of a shard, or a restart while the platform does not answer. Its methods may be
+// called by any number of goroutines.
+type outage struct {
+	// since is when the first call after the last answered one was refused, in Unix
+	// nanoseconds; 0 if the last call was answered.
+	since atomic.Int64
+}
+
+// end records an answered call.
+func (og *outage) end() {
+	if og.since.Load() != 0 {
+		og.since.Store(0)
+	}
+}
+
+// retryAfter records a refused call, and returns how long its caller should wait, at
+// least for a minimum.
+func (og *outage) retryAfter(now time.Time, id string, least time.Duration) time.Duration {
+	og.since.CompareAndSwap(0, now.UnixNano())
+	lasted := time.Duration(now.UnixNano() - og.since.Load())
+	delay := min(max(time.Duration(outageShare*float64(lasted)), least), maxRetryAfter)
+	const steps = 1 << 10
+	spread := float64(xxhash.Sum64String(id)%steps) / steps
+	return delay + time.Duration(retrySpread*spread*float64(delay))
+}
+
 // RetryAfter returns how long a caller should wait before it resends a request
 // that was refused and did not run.
 func RetryAfter(rf *contract.Refusal) time.Duration {
-	if rf.RetryAfter > 0 {
-		return rf.RetryAfter
-	}
-	if rf.Code == contract.CodeStarting {
-		return retryAfterStarting
-	}
-	return retryAfterBusy
+	return max(rf.RetryAfter, minRetryAfter)
 }
