Split the files of the cluster, the watcher and the backend client

Moves only: heartbeats and targets out of cluster.go, ViewTarget out of watcher.go, upkeep out of client.go; the round is counted where its targets are chosen.

--- /dev/null
+++ b/internal/peer/entry/heartbeat.go
@@ -0,0 +1,241 @@
+package entry
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"daisystage.example/daisystage/internal/node/events"
+	"daisystage.example/daisystage/internal/wire/entrypb"
+	"daisystage.example/daisystage/internal/world/machine"
+	"daisystage.example/daisystage/internal/world/view"
+)
+
+// ConfirmedAt returns when the platform last confirmed the view, to this
+// process or to a peer; the zero time if it never did.
+func (cr *Cluster) ConfirmedAt() time.Time {
+	asOf := cr.Confirmation.AsOf()
+	if cr.DirectlyConfirmedAt == nil {
+		return asOf
+	}
+	if direct := cr.DirectlyConfirmedAt(); direct.After(asOf) {
+		return direct
+	}
+	return asOf
+}
+
+// wasEverConfirmed reports whether the platform has ever confirmed the view.
+func (cr *Cluster) wasEverConfirmed() bool {
+	if !cr.everConfirmed.Load() && !cr.ConfirmedAt().IsZero() {
+		cr.everConfirmed.Store(true)
+	}
+	return cr.everConfirmed.Load()
+}
+
+// confirmationAge returns the age of the platform's last confirmation in
+// milliseconds, as sent to peers; neverConfirmed if there was none since the
+// start.
+func (cr *Cluster) confirmationAge(now time.Time) uint32 {
+	if !cr.wasEverConfirmed() {
+		return neverConfirmed
+	}
+	return min(ageMillis(now, cr.ConfirmedAt()), neverConfirmed-1)
+}
+
+// Heartbeat returns the heartbeat that this process sends to an entry VM in a zone.
+func (cr *Cluster) Heartbeat(now time.Time, zone string) *entrypb.Heartbeat {
+	own, cp := cr.OwnRecord(now), cr.Replica.Current()
+	hb := &entrypb.Heartbeat{
+		Sender:       encodeMember(now, own),
+		Confirmed:    now.Sub(cr.ConfirmedAt()) <= view.ConfirmationTTL,
+		ConfirmedMs:  cr.confirmationAge(now),
+		PlatformDown: cr.PlatformDown(),
+		Version:      cp.Version,
+		Digest:       cp.Digest,
+	}
+	hb.Members = sampleMembers(now, *cr.members.Load())
+	for _, vm := range cr.newsFor(now, zone) {
+		if !slices.ContainsFunc(hb.Members, func(mb *entrypb.Member) bool { return mb.Name == vm.Name }) {
+			hb.Members = append(hb.Members, encodeMember(now, vm))
+		}
+	}
+	hb.Departures = cr.encodeDepartures(now)
+	for fingerprint, cs := range cr.Quarantine.Crashes() {
+		hb.Quarantines = append(hb.Quarantines, &entrypb.Quarantine{Fingerprint: fingerprint, Servers: cs.Servers})
+	}
+	return hb
+}
+
+// newsFor returns the members that an entry VM in a zone needs to know, in a large
+// cluster: the hubs of its zone, and from a hub the representatives of zones. A hub
+// passes those of all zones on within its own zone, and those of its own zone to
+// others.
+func (cr *Cluster) newsFor(now time.Time, zone string) []machine.EntryVM {
+	vms := cr.recentMembers(now)
+	if len(vms) <= smallCluster+1 {
+		return nil
+	}
+	news := machine.Hubs(now, zone, vms)
+	if !machine.IsHub(now, cr.Self, vms) {
+		return news
+	}
+	if zone != cr.Self.Zone {
+		news = append(news, machine.Hubs(now, cr.Self.Zone, vms)...)
+		return append(news, machine.Representatives(now, cr.Self.Zone, vms)...)
+	}
+	for _, each := range zonesOf(vms) {
+		news = append(news, machine.Representatives(now, each, vms)...)
+	}
+	return news
+}
+
+// sampleMembers returns up to sampleSize live members that are not leaving and up
+// to leavingSampleSize that are. The random order of map iteration selects them.
+func sampleMembers(now time.Time, known members) []*entrypb.Member {
+	var sampled []*entrypb.Member
+	staying, leaving := 0, 0
+	for _, mb := range known {
+		switch {
+		case !mb.IsLive(now):
+			continue
+		case mb.Leaving && leaving < leavingSampleSize:
+			leaving++
+		case !mb.Leaving && staying < sampleSize:
+			staying++
+		default:
+			continue
+		}
+		sampled = append(sampled, encodeMember(now, mb.EntryVM))
+		if staying == sampleSize && leaving == leavingSampleSize {
+			break
+		}
+	}
+	return sampled
+}
+
+// HandleHeartbeat merges a heartbeat from a peer and returns the reply.
+func (cr *Cluster) HandleHeartbeat(now time.Time, hb *entrypb.Heartbeat) *entrypb.Heartbeat {
+	if hb.GetSender().GetName() != "" {
+		cr.mergeHeartbeat(now, hb)
+		cr.catchUpFromSender(now, hb)
+	}
+	return cr.Heartbeat(now, hb.GetSender().GetZone())
+}
+
+// catchUpFromSender starts an exchange with the sender of a heartbeat if this
+// process is a follower and lacks the sender's state. It does not block.
+func (cr *Cluster) catchUpFromSender(now time.Time, hb *entrypb.Heartbeat) {
+	cp := cr.Replica.Current()
+	if !cr.isFollower() || hb.Digest == cp.Digest || cp.HadDigest(hb.Version, hb.Digest) {
+		return
+	}
+	address := decodeMember(now, hb.Sender).EntryAddress
+	if address == "" || !cr.catchingUp.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer cr.catchingUp.Store(false)
+		cr.exchange(context.Background(), address)
+	}()
+}
+
+func (cr *Cluster) isFollower() bool {
+	return cr.FollowsPeers != nil && cr.FollowsPeers()
+}
+
+// mergeHeartbeat merges the members and quarantines of a heartbeat; the ages in
+// it count back from now.
+func (cr *Cluster) mergeHeartbeat(now time.Time, hb *entrypb.Heartbeat) {
+	sender := decodeMember(now, hb.Sender)
+	sender.Version, sender.Digest, sender.PlatformUnreachable = hb.Version, hb.Digest, hb.PlatformDown
+	if hb.ConfirmedMs == neverConfirmed {
+		sender.Version = 0
+	}
+	records := []machine.EntryVM{sender}
+	for _, mb := range hb.Members {
+		records = append(records, decodeMember(now, mb))
+	}
+	if cr.changesMembers(records) {
+		cr.members.Update(func(old members) members { return cr.mergeMembers(now, old, records) })
+	}
+	for _, qn := range hb.Quarantines {
+		cr.mergeQuarantine(now, qn)
+	}
+	cr.mergeDepartures(now, hb.Departures)
+}
+
+// changesMembers reports whether a merge of records would change the members. It
+// avoids the copy of the map that a merge makes.
+func (cr *Cluster) changesMembers(records []machine.EntryVM) bool {
+	known := *cr.members.Load()
+	return slices.ContainsFunc(records, func(vm machine.EntryVM) bool {
+		have, ok := known[vm.Name]
+		if vm.Name != records[0].Name {
+			vm.PlatformUnreachable = have.PlatformUnreachable
+		}
+		return vm.Name != cr.Self.Name && (!ok || have.EntryVM != have.Merge(vm))
+	})
+}
+
+// mergeMembers returns the members with records merged; the first record is that
+// of the sender.
+func (cr *Cluster) mergeMembers(now time.Time, old members, records []machine.EntryVM) members {
+	next := maps.Clone(old)
+	for _, vm := range records {
+		if vm.Name == cr.Self.Name || vm.Name == "" {
+			continue
+		}
+		mb, ok := next[vm.Name]
+		if !ok {
+			if !vm.IsLive(now) {
+				continue
+			}
+			mb.EntryVM = vm
+			events.PeerJoined.Log(cr.Log, zap.String("peer", vm.Name), zap.String("peer_zone", vm.Zone))
+		}
+		if mb.Incarnation != vm.Incarnation && vm.Incarnation > mb.Incarnation {
+			mb = Member{EntryVM: vm}
+		}
+		unreachable := mb.PlatformUnreachable
+		mb.EntryVM = mb.Merge(vm)
+		if vm.Name != records[0].Name {
+			// Only a VM's own heartbeat carries whether it reaches the platform.
+			mb.PlatformUnreachable = unreachable
+		}
+		next[vm.Name] = mb
+	}
+	return next
+}
+
+func (cr *Cluster) mergeQuarantine(now time.Time, qn *entrypb.Quarantine) {
+	for _, server := range qn.Servers {
+		if cr.Quarantine.CrashCount(now, qn.Fingerprint) >= len(qn.Servers) {
+			return
+		}
+		cr.Quarantine.RecordCrash(now, qn.Fingerprint, server)
+	}
+}
+
+func ageMillis(now, then time.Time) uint32 {
+	return uint32(min(max(now.Sub(then).Milliseconds(), 0), neverConfirmed))
+}
+
+func encodeMember(now time.Time, vm machine.EntryVM) *entrypb.Member {
+	return &entrypb.Member{
+		Name: vm.Name, Zone: vm.Zone, CallerAddress: vm.CallerAddress, OperatorAddress: vm.OperatorAddress,
+		EntryAddress: vm.EntryAddress, Incarnation: vm.Incarnation, Leaving: vm.Leaving, HeardMs: ageMillis(now, vm.LastHeartbeat),
+		Capacity: vm.Capacity, Load: vm.Load, Version: vm.Version, Digest: vm.Digest,
+	}
+}
+
+func decodeMember(now time.Time, mb *entrypb.Member) machine.EntryVM {
+	return machine.EntryVM{
+		Name: mb.GetName(), Zone: mb.GetZone(), CallerAddress: mb.GetCallerAddress(), OperatorAddress: mb.GetOperatorAddress(),
+		EntryAddress: mb.GetEntryAddress(), Incarnation: mb.GetIncarnation(), Leaving: mb.GetLeaving(),
+		LastHeartbeat: now.Add(-time.Duration(mb.GetHeardMs()) * time.Millisecond),
+		Capacity:      mb.GetCapacity(), Load: mb.GetLoad(), Version: mb.GetVersion(), Digest: mb.GetDigest(),
+	}
+}
