Log the members that a VM hears from, at hubs in a large cluster

Change: a VM logs only members that sent it a heartbeat themselves, and in a large cluster only a hub does, for its zone.

--- a/internal/peer/entry/cluster.go
+++ b/internal/peer/entry/cluster.go
@@ -82,6 +82,8 @@
 	machine.EntryVM
 	// AnsweredAt is when the last heartbeat that the VM answered was sent.
 	AnsweredAt time.Time
+	// FirstHand is set once a heartbeat came from the VM itself.
+	FirstHand bool
 	// PlatformDown is whether the VM last reported that its own calls to the
 	// platform are unanswered.
 	PlatformDown bool
@@ -293,12 +295,20 @@
 	return ""
 }
 
+// reports reports whether this process logs the coming and going of a member that
+// it heard from: in a large cluster the hubs do so for their zone. The others hear
+// from a member now and then, and lose sight of it while it lives.
+func (cr *Cluster) reports(now time.Time, vm machine.EntryVM) bool {
+	vms := cr.recentMembers(now)
+	return len(vms) <= smallCluster+1 || vm.Zone == cr.Self.Zone && machine.IsHub(now, cr.Self, vms)
+}
+
 // removeSilent logs the members that have just become silent, and removes those
 // that have been silent for more than machine.PeerRemoveAfter.
 func (cr *Cluster) removeSilent(now time.Time) {
 	for name, mb := range *cr.members.Load() {
 		silence := now.Sub(mb.LastHeartbeat)
-		if silence > machine.PeerTimeout && silence <= machine.PeerTimeout+machine.HeartbeatInterval {
+		if silence > machine.PeerTimeout && silence <= machine.PeerTimeout+machine.HeartbeatInterval && mb.FirstHand && cr.reports(now, mb.EntryVM) {
 			events.PeerSilent.Log(cr.Log, zap.String("peer", name))
 		}
 		if silence > machine.PeerRemoveAfter {
--- a/internal/peer/entry/heartbeat.go
+++ b/internal/peer/entry/heartbeat.go
@@ -194,10 +194,15 @@
 				continue
 			}
 			mb.EntryVM = vm
-			events.PeerJoined.Log(cr.Log, zap.String("peer", vm.Name), zap.String("peer_zone", vm.Zone))
+		}
+		if vm.Name == records[0].Name && !mb.FirstHand {
+			mb.FirstHand = true
+			if cr.reports(now, vm) {
+				events.PeerJoined.Log(cr.Log, zap.String("peer", vm.Name), zap.String("peer_zone", vm.Zone))
+			}
 		}
 		if mb.Incarnation != vm.Incarnation && vm.Incarnation > mb.Incarnation {
-			mb = Member{EntryVM: vm}
+			mb = Member{EntryVM: vm, FirstHand: mb.FirstHand}
 		}
 		unreachable := mb.PlatformUnreachable
 		mb.EntryVM = mb.Merge(vm)
--- a/internal/peer/entry/membership_test.go
+++ b/internal/peer/entry/membership_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"fmt"
+	"io"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 	"gotest.tools/v3/assert"
 
 	"daisystage.example/daisystage/internal/world/machine"
@@ -160,3 +164,37 @@
 	// it with the number of VMs.
 	assert.Assert(t, between[2] < 4*between[0], "%v", between)
 }
+
+// TestMembershipLogIsBounded counts the log lines of many VMs: at the start, while
+// nothing happens, and after the loss of some. Only those that know a member at
+// first hand tell of it.
+func TestMembershipLogIsBounded(t *testing.T) {
+	const count, zones, lost = 100, 5, 10
+	synctest.Test(t, func(t *testing.T) {
+		var lines atomic.Int64
+		log := zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), zapcore.AddSync(io.Discard), zap.DebugLevel),
+			zap.Hooks(func(zapcore.Entry) error {
+				lines.Add(1)
+				return nil
+			}))
+		mm, all := newZonedClusters(t, count, zones)
+		for _, cr := range all {
+			cr.Log = log
+		}
+		runRounds(t, all, nil, 15)
+		// A VM tells of those it hears from until it knows that the cluster is large.
+		assert.Assert(t, lines.Load() < 2*smallCluster*count, "%d lines at the start", lines.Load())
+		lines.Store(0)
+		runRounds(t, all, nil, 20)
+		assert.Assert(t, lines.Load() < count/10, "%d lines while nothing happens", lines.Load())
+		stopped := map[string]bool{}
+		for _, cr := range all[count-lost:] {
+			stopped[cr.Self.Name] = true
+			mm.unreachable[cr.Self.EntryAddress] = true
+		}
+		lines.Store(0)
+		runRounds(t, all, stopped, 15)
+		assert.Assert(t, lines.Load() >= lost, "a loss is logged")
+		assert.Assert(t, lines.Load() < 20*lost, "%d lines after the loss of %d", lines.Load(), lost)
+	})
+}
