Keep connections with unread bytes open during a stop only

Found by reading: the server closes a new connection whose bytes are no request once; with more bytes unread it stayed open for good. Now a listener keeps connections only after its stop began. The new row of TestCloseEndsConnectionsWithoutRequest fails before.

--- a/internal/node/forwardvm/drain.go
+++ b/internal/node/forwardvm/drain.go
@@ -18,6 +18,9 @@
 	net.Listener
 	// kept counts the connections that were kept open because of a request.
 	kept atomic.Int64
+	// stopping is set when the server shuts down. Before, connections are closed for
+	// other reasons, such as bytes that are no request.
+	stopping atomic.Bool
 }
 
 // Accept implements net.Listener.
@@ -38,6 +41,7 @@
 // are answered, or the context ends.
 func shutDown(ctx context.Context, hs *http.Server, dl *drainListener) error {
 	time.Sleep(acceptGrace)
+	dl.stopping.Store(true)
 	return errors.Join(hs.Shutdown(ctx), dl.wait(ctx))
 }
 
@@ -89,11 +93,11 @@
 	dc.isIdle.Store(state == http.StateIdle || state == http.StateNew)
 }
 
-// Close implements net.Conn. A connection that waits for a request stays open if
-// bytes of one have arrived. The server then reads and answers the request, and
+// Close implements net.Conn. During a stop, a connection that waits for a request
+// stays open if bytes of one have arrived. The server then reads and answers the request, and
 // closes the connection after it.
 func (dc *drainConn) Close() error {
-	if dc.isIdle.Load() && hasUnread(dc.Conn) && dc.kept.CompareAndSwap(false, true) {
+	if dc.listener.stopping.Load() && dc.isIdle.Load() && hasUnread(dc.Conn) && dc.kept.CompareAndSwap(false, true) {
 		dc.listener.kept.Add(1)
 		return nil
 	}
--- a/internal/node/forwardvm/drain_test.go
+++ b/internal/node/forwardvm/drain_test.go
@@ -26,6 +26,7 @@
 	assert.NilError(t, err)
 	dc := accepted.(*drainConn)
 	dc.setState(http.StateIdle)
+	dl.stopping.Store(true)
 	_, err = fmt.Fprint(caller, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
 	assert.NilError(t, err)
 	for !hasUnread(dc.Conn) {
@@ -56,10 +57,12 @@
 	tests := []struct {
 		name, text string
 		state      http.ConnState
+		stopping   bool
 	}{
-		{"idle", "", http.StateIdle},
-		{"new", "", http.StateNew},
-		{"bytes beyond the current request", "rest", http.StateActive},
+		{"idle", "", http.StateIdle, true},
+		{"new", "", http.StateNew, true},
+		{"bytes beyond the current request", "rest", http.StateActive, true},
+		{"rejected bytes of a new connection, without a stop", "rest", http.StateNew, false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -73,6 +76,7 @@
 			accepted, err := dl.Accept()
 			assert.NilError(t, err)
 			accepted.(*drainConn).setState(tt.state)
+			dl.stopping.Store(tt.stopping)
 			_, err = fmt.Fprint(caller, tt.text)
 			assert.NilError(t, err)
 			time.Sleep(10 * time.Millisecond)
