Stop without http.Server.Shutdown

With a trace of the connections: a caller had connected 180 ms before a planned stop closed the listener, and its request came 270 ms after it was sent. The server read it and closed the connection without calling the handler, since Shutdown had begun. Change: a stop closes the listener and the connections that wait for no request itself, waits up to 1 s for the first request of a new connection, and answers the rest. TestStopAnswersRequestsOfOpenConnections plays it.

--- a/internal/node/forwardvm/drain.go
+++ b/internal/node/forwardvm/drain.go
@@ -3,24 +3,35 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 )
 
-// drainListener accepts callers' connections that a stop does not cut under a
-// request: http.Server.Shutdown closes each connection that it takes for idle, also
-// one on which a request has arrived that no goroutine could read yet because the
-// process was short of processor time.
+const (
+	// acceptGrace is left to the server before its listener is closed, to accept the
+	// connections that callers have made already: after a lack of processor time they
+	// may be many.
+	acceptGrace = 20 * time.Millisecond
+	// newConnWait is how long a stop waits for the request of a caller that has just
+	// connected, whose bytes may have to be sent again.
+	newConnWait = time.Second
+	// stopCheckInterval is the time between two looks at the open connections during
+	// a stop.
+	stopCheckInterval = 10 * time.Millisecond
+)
+
+// drainListener accepts callers' connections and stops them without cutting a
+// request. http.Server.Shutdown does not: it drops each request that is read after
+// it began, and closes connections on which a request lies unread.
 type drainListener struct {
 	net.Listener
-	// kept counts the connections that were kept open because of a request.
-	kept atomic.Int64
-	// stopping is set when the server shuts down. Before, connections are closed for
-	// other reasons, such as bytes that are no request.
-	stopping atomic.Bool
+	// conns holds the open connections as *drainConn keys.
+	conns sync.Map
 }
 
 // Accept implements net.Listener.
@@ -29,50 +40,58 @@
 	if err != nil {
 		return nil, err
 	}
-	return &drainConn{Conn: raw, listener: dl}, nil
+	dc := &drainConn{Conn: raw, listener: dl, acceptedAt: time.Now()}
+	dl.conns.Store(dc, nil)
+	return dc, nil
 }
 
-// acceptGrace is left to the server before its listener is closed, to accept the
-// connections that callers have made already: after a lack of processor time they
-// may be many.
-const acceptGrace = 20 * time.Millisecond
-
-// shutDown stops a server of callers, and returns when all requests that had arrived
-// are answered, or the context ends.
-func shutDown(ctx context.Context, hs *http.Server, dl *drainListener) error {
+// shutDown stops accepting, and returns when all requests that callers sent on open
+// connections are answered. If the context ends before that, it returns its error.
+// The handler must let connections close after their answers.
+func (dl *drainListener) shutDown(ctx context.Context) error {
 	time.Sleep(acceptGrace)
-	dl.stopping.Store(true)
-	return errors.Join(hs.Shutdown(ctx), dl.wait(ctx))
-}
-
-// wait waits until the requests on kept connections are answered, or the context
-// ends.
-func (dl *drainListener) wait(ctx context.Context) error {
-	ticker := time.NewTicker(keptCheckInterval)
+	if err := dl.Close(); err != nil {
+		return fmt.Errorf("close listener: %w", err)
+	}
+	ticker := time.NewTicker(stopCheckInterval)
 	defer ticker.Stop()
-	for dl.kept.Load() > 0 {
+	for dl.closeIdle(time.Now()) > 0 {
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
-			return ctx.Err()
+			return fmt.Errorf("%w: %w", errRequestsLeft, ctx.Err())
 		}
 	}
 	return nil
 }
 
-// keptCheckInterval is the time between two checks for answered requests at the end
-// of a stop.
-const keptCheckInterval = 10 * time.Millisecond
+var errRequestsLeft = errors.New("requests are still running")
+
+// closeIdle closes the connections that wait for no request, and returns the number
+// of the others.
+func (dl *drainListener) closeIdle(now time.Time) int {
+	left := 0
+	dl.conns.Range(func(key, _ any) bool {
+		dc := key.(*drainConn)
+		if !dc.isIdle(now) {
+			left++
+			return true
+		}
+		_ = dc.Close()
+		return true
+	})
+	return left
+}
 
 // drainConn is a connection of a drainListener.
 type drainConn struct {
 	net.Conn
-	listener *drainListener
+	listener   *drainListener
+	acceptedAt time.Time
 	// requests counts the requests on the connection.
 	requests atomic.Int64
-	// isIdle is set while the connection waits for a request, kept after Close left
-	// it open.
-	isIdle, kept atomic.Bool
+	// state holds an http.ConnState.
+	state atomic.Int64
 }
 
 // connKey is the key of the *drainConn in the context of a request.
@@ -90,20 +109,24 @@
 	if state == http.StateActive {
 		dc.requests.Add(1)
 	}
-	dc.isIdle.Store(state == http.StateIdle || state == http.StateNew)
+	dc.state.Store(int64(state))
 }
 
-// Close implements net.Conn. During a stop, a connection that waits for a request
-// stays open if bytes of one have arrived. The server then reads and answers the request, and
-// closes the connection after it.
-func (dc *drainConn) Close() error {
-	if dc.listener.stopping.Load() && dc.isIdle.Load() && hasUnread(dc.Conn) && dc.kept.CompareAndSwap(false, true) {
-		dc.listener.kept.Add(1)
-		return nil
-	}
-	if dc.kept.CompareAndSwap(true, false) {
-		dc.listener.kept.Add(-1)
+// isIdle reports whether the connection waits for a request of which nothing has
+// arrived. The first request of a connection may take newConnWait.
+func (dc *drainConn) isIdle(now time.Time) bool {
+	switch http.ConnState(dc.state.Load()) {
+	case http.StateNew:
+		return now.Sub(dc.acceptedAt) > newConnWait && !hasUnread(dc.Conn)
+	case http.StateIdle:
+		return !hasUnread(dc.Conn)
 	}
+	return false
+}
+
+// Close implements net.Conn.
+func (dc *drainConn) Close() error {
+	dc.listener.conns.Delete(dc)
 	return dc.Conn.Close()
 }
 
--- a/internal/node/forwardvm/drain_test.go
+++ b/internal/node/forwardvm/drain_test.go
@@ -3,7 +3,9 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -12,111 +14,137 @@
 	"gotest.tools/v3/assert"
 )
 
-// TestCloseKeepsConnectionWithRequest closes an idle connection as a stop does, at
-// the moment at which a request has arrived and was not read.
-func TestCloseKeepsConnectionWithRequest(t *testing.T) {
-	ls, err := net.Listen("tcp", "127.0.0.1:0")
+const testRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+
+// startCallerServer starts a server whose answers let connections close, as in a
+// stop, unless keep is set.
+func startCallerServer(t *testing.T, keep bool) *drainListener {
+	t.Helper()
+	hs, dl, err := newCallerServer("127.0.0.1:0", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(5 * time.Millisecond)
+		if !keep {
+			w.Header().Set("Connection", "close")
+		}
+		w.WriteHeader(http.StatusNoContent)
+	}))
 	assert.NilError(t, err)
-	dl := &drainListener{Listener: ls}
-	defer dl.Close()
-	caller, err := net.Dial("tcp", ls.Addr().String())
+	go func() { _ = hs.Serve(dl) }()
+	t.Cleanup(func() { _ = hs.Close() })
+	return dl
+}
+
+func connect(t *testing.T, dl *drainListener) net.Conn {
+	t.Helper()
+	cn, err := net.Dial("tcp", dl.Addr().String())
 	assert.NilError(t, err)
-	defer caller.Close()
-	accepted, err := dl.Accept()
+	t.Cleanup(func() { _ = cn.Close() })
+	return cn
+}
+
+func send(t *testing.T, cn net.Conn) {
+	t.Helper()
+	_, err := fmt.Fprint(cn, testRequest)
 	assert.NilError(t, err)
-	dc := accepted.(*drainConn)
-	dc.setState(http.StateIdle)
-	dl.stopping.Store(true)
-	_, err = fmt.Fprint(caller, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+}
+
+func expectAnswer(t *testing.T, cn net.Conn) {
+	t.Helper()
+	rs, err := http.ReadResponse(bufio.NewReader(cn), nil)
 	assert.NilError(t, err)
-	for !hasUnread(dc.Conn) {
-		time.Sleep(time.Millisecond)
+	assert.Equal(t, rs.StatusCode, http.StatusNoContent)
+}
+
+// TestStopAnswersRequestsOfOpenConnections sends requests before and after the
+// beginning of a stop: on connections just made, and on ones that wait for their
+// first request. All are answered, and the stop ends soon after.
+func TestStopAnswersRequestsOfOpenConnections(t *testing.T) {
+	dl := startCallerServer(t, false)
+	var early, late []net.Conn
+	for range 20 {
+		cn := connect(t, dl)
+		send(t, cn)
+		early = append(early, cn)
+		late = append(late, connect(t, dl))
 	}
-	assert.NilError(t, dc.Close())
-	assert.Equal(t, dl.kept.Load(), int64(1))
-	soon, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	stopped := make(chan error, 1)
+	startedAt := time.Now()
+	go func() { stopped <- dl.shutDown(ctx) }()
+	for _, cn := range early {
+		expectAnswer(t, cn)
+	}
+	time.Sleep(300 * time.Millisecond)
+	_, err := net.Dial("tcp", dl.Addr().String())
+	assert.Assert(t, err != nil, "no further connections")
+	for _, cn := range late {
+		send(t, cn)
+		expectAnswer(t, cn)
+	}
+	assert.NilError(t, <-stopped)
+	assert.Assert(t, time.Since(startedAt) < newConnWait)
+}
+
+// TestStopClosesConnectionsWithoutRequest stops a server with connections that have
+// no request to lose.
+func TestStopClosesConnectionsWithoutRequest(t *testing.T) {
+	dl := startCallerServer(t, true)
+	idle, silent := connect(t, dl), connect(t, dl)
+	send(t, idle)
+	expectAnswer(t, idle)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 	defer cancel()
-	assert.ErrorIs(t, dl.wait(soon), context.DeadlineExceeded)
+	startedAt := time.Now()
+	assert.NilError(t, dl.shutDown(ctx))
+	assert.Assert(t, time.Since(startedAt) < 2*newConnWait)
+	for _, cn := range []net.Conn{idle, silent} {
+		_, err := cn.Read(make([]byte, 1))
+		assert.ErrorIs(t, err, io.EOF)
+	}
+}
 
-	rq, err := http.ReadRequest(bufio.NewReader(dc))
-	assert.NilError(t, err, "the request can still be read")
-	assert.Equal(t, rq.Method, http.MethodGet)
-	dc.setState(http.StateActive)
-	_, err = fmt.Fprint(dc, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+// TestRequestThatLiesUnreadIsNotIdle looks at a connection as a stop does, at the
+// moment at which a request has arrived and no goroutine has read it.
+func TestRequestThatLiesUnreadIsNotIdle(t *testing.T) {
+	ls, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	assert.NilError(t, dc.Close())
-	assert.NilError(t, dl.wait(t.Context()))
-	rs, err := http.ReadResponse(bufio.NewReader(caller), rq)
+	dl := &drainListener{Listener: ls}
+	defer func() { _ = dl.Close() }()
+	caller := connect(t, dl)
+	accepted, err := dl.Accept()
 	assert.NilError(t, err)
-	assert.Equal(t, rs.StatusCode, http.StatusOK)
-}
-
-// TestCloseEndsConnectionsWithoutRequest closes connections that have no request to
-// lose.
-func TestCloseEndsConnectionsWithoutRequest(t *testing.T) {
-	tests := []struct {
-		name, text string
-		state      http.ConnState
-		stopping   bool
-	}{
-		{"idle", "", http.StateIdle, true},
-		{"new", "", http.StateNew, true},
-		{"bytes beyond the current request", "rest", http.StateActive, true},
-		{"rejected bytes of a new connection, without a stop", "rest", http.StateNew, false},
+	dc := accepted.(*drainConn)
+	later := time.Now().Add(2 * newConnWait)
+	for _, state := range []http.ConnState{http.StateNew, http.StateIdle} {
+		dc.setState(state)
+		assert.Assert(t, dc.isIdle(later))
 	}
-	for _, tt := range tests {
-		t.Run(tt.name, func(t *testing.T) {
-			ls, err := net.Listen("tcp", "127.0.0.1:0")
-			assert.NilError(t, err)
-			dl := &drainListener{Listener: ls}
-			defer dl.Close()
-			caller, err := net.Dial("tcp", ls.Addr().String())
-			assert.NilError(t, err)
-			defer caller.Close()
-			accepted, err := dl.Accept()
-			assert.NilError(t, err)
-			accepted.(*drainConn).setState(tt.state)
-			dl.stopping.Store(tt.stopping)
-			_, err = fmt.Fprint(caller, tt.text)
-			assert.NilError(t, err)
-			time.Sleep(10 * time.Millisecond)
-			assert.NilError(t, accepted.Close())
-			assert.Equal(t, dl.kept.Load(), int64(0))
-			_, err = accepted.Read(make([]byte, 1))
-			assert.ErrorIs(t, err, net.ErrClosed)
-		})
+	send(t, caller)
+	for !hasUnread(dc.Conn) {
+		time.Sleep(time.Millisecond)
+	}
+	for _, state := range []http.ConnState{http.StateNew, http.StateIdle, http.StateActive} {
+		dc.setState(state)
+		assert.Assert(t, !dc.isIdle(later), "%s", state)
 	}
+	assert.Equal(t, dl.closeIdle(later), 1)
+	assert.NilError(t, dc.Close())
+	assert.Equal(t, dl.closeIdle(later), 0)
 }
 
-// TestRequestsAreAnsweredDuringShutdown shuts a server down that callers have just
-// connected and sent requests to. All are answered.
-func TestRequestsAreAnsweredDuringShutdown(t *testing.T) {
-	hs, dl, err := newCallerServer("127.0.0.1:0", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		time.Sleep(5 * time.Millisecond)
-		w.Header().Set("Connection", "close")
-		w.WriteHeader(http.StatusNoContent)
-	}))
+// TestStopIsCutShort stops a server whose request outlasts the time for it.
+func TestStopIsCutShort(t *testing.T) {
+	release := make(chan struct{})
+	hs, dl, err := newCallerServer("127.0.0.1:0", http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-release }))
 	assert.NilError(t, err)
 	go func() { _ = hs.Serve(dl) }()
-	const callers = 20
-	var conns []net.Conn
-	for range callers {
-		cn, err := net.Dial("tcp", dl.Addr().String())
-		assert.NilError(t, err)
-		defer cn.Close()
-		_, err = fmt.Fprint(cn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
-		assert.NilError(t, err)
-		conns = append(conns, cn)
-	}
-	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer func() { _ = hs.Close() }()
+	defer close(release)
+	send(t, connect(t, dl))
+	time.Sleep(20 * time.Millisecond)
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
 	defer cancel()
-	assert.NilError(t, shutDown(ctx, hs, dl))
-	for _, cn := range conns {
-		rs, err := http.ReadResponse(bufio.NewReader(cn), nil)
-		assert.NilError(t, err)
-		assert.Equal(t, rs.StatusCode, http.StatusNoContent)
-	}
-	assert.Equal(t, dl.kept.Load(), int64(0))
+	assert.Assert(t, errors.Is(dl.shutDown(ctx), errRequestsLeft))
 }
 
 func TestFirstRequestOfConnection(t *testing.T) {
@@ -126,7 +154,7 @@
 	}))
 	assert.NilError(t, err)
 	go func() { _ = hs.Serve(dl) }()
-	defer hs.Close()
+	defer func() { _ = hs.Close() }()
 	for range 2 {
 		client := &http.Client{Transport: &http.Transport{}}
 		for range 3 {
--- a/internal/node/forwardvm/process.go
+++ b/internal/node/forwardvm/process.go
@@ -402,7 +402,7 @@
 	events.Draining.Log(ps.Log)
 	ctx, cancel := context.WithDeadline(context.Background(), end.Add(-finishMargin))
 	defer cancel()
-	if err := shutDown(ctx, ps.callers, ps.callerListener); err != nil {
+	if err := ps.callerListener.shutDown(ctx); err != nil {
 		events.StopCutShort.Log(ps.Log, zap.Error(err))
 	}
 	ps.group.Close()
