Kill and pause at the step of the request that a test names

The test kills 750 ms after the send, and the claim was not stored by then; killing after 1 ms gives the same failure each time. No request ran twice. Now the cases between claim and send and after the send wait until the platform holds the claim; the expected outcomes and runs are unchanged.

--- a/cmd/daisystage/at_most_once_test.go
+++ b/cmd/daisystage/at_most_once_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"slices"
@@ -15,6 +16,8 @@
 	"gotest.tools/v3/assert"
 
 	"daisystage.example/daisystage/internal/peer/caller"
+	"daisystage.example/daisystage/internal/world/contract"
+	"daisystage.example/daisystage/internal/world/view"
 )
 
 const (
@@ -33,6 +36,21 @@
 	return client.Query(ctx, "gaisma", "save", id, []byte(`{"plan":"Jonah"}`), deadline)
 }
 
+// waitClaimed waits until the claim of a request is stored.
+func (dp *deployment) waitClaimed(id uuid.UUID) {
+	dp.t.Helper()
+	dp.eventually(func() error {
+		buckets, _, err := dp.store.List(dp.t.Context(), contract.PrefixClaims)
+		if err != nil {
+			return err
+		}
+		if !slices.ContainsFunc(buckets, func(ob view.Object) bool { return strings.Contains(ob.Value, id.String()) }) {
+			return errors.New("no claim of the request")
+		}
+		return nil
+	})
+}
+
 // TestNonIdempotentRequestRunsAtMostOnce guards against a request that is not
 // idempotent running twice. It kills or pauses an entry VM at each step of a
 // request, resends the request through another, and counts the runs at the
@@ -57,11 +75,19 @@
 		time.Sleep(2 * faultDelay)
 		dp.signal("entry-0", syscall.SIGCONT)
 	}
+	afterSend := func(act func(*deployment)) func(*deployment) {
+		return func(dp *deployment) {
+			time.Sleep(actAfter)
+			act(dp)
+		}
+	}
 	tests := []struct {
 		name string
 		// before sets the faults, during acts while the request is delayed.
 		before, during func(*deployment)
-		deadline       time.Duration
+		// claimed is set if during acts only once the request's claim is stored.
+		claimed  bool
+		deadline time.Duration
 		// first and again are the outcomes of the sends through entry-0 and
 		// then entry-1. An empty first is not checked.
 		first, again string
@@ -73,11 +99,11 @@
 		},
 		{
 			name: "killed between claim and send", before: platformFaults(`{"hold_ms":1500}`), during: kill,
-			again: "unknown", runs: 0,
+			claimed: true, again: "unknown", runs: 0,
 		},
 		{
-			name: "killed after the send", before: serverFaults(`{"straggle":400}`), during: kill,
-			again: "unknown", runs: 1,
+			name: "killed after the send", before: serverFaults(`{"straggle":400}`), during: afterSend(kill),
+			claimed: true, again: "unknown", runs: 1,
 		},
 		{
 			name: "the platform loses the answer to the claim", before: platformFaults(`{"lose_answers":1}`),
@@ -91,12 +117,12 @@
 			// The outcome of the first send depends on which of the delayed
 			// answers arrives first. The second send finds the claim abandoned.
 			name: "paused between claim and send until after the deadline", before: platformFaults(`{"hold_ms":1500}`),
-			during: pause, deadline: 2 * faultDelay, again: "whole", runs: 1,
+			during: pause, claimed: true, deadline: 2 * faultDelay, again: "whole", runs: 1,
 		},
 		{
 			// The server's answer waits in the socket while the process is
 			// paused, and may be read before the deadline is checked.
-			name: "paused after the send", before: serverFaults(`{"straggle":400}`), during: pause, deadline: 2 * faultDelay,
+			name: "paused after the send", before: serverFaults(`{"straggle":400}`), during: afterSend(pause), claimed: true, deadline: 2 * faultDelay,
 			again: "unknown or already_run", runs: 1,
 		},
 		{
@@ -117,7 +143,11 @@
 			var first caller.Result
 			var sent sync.WaitGroup
 			sent.Go(func() { first, _ = dp.sendSave("entry-0", id, tt.deadline) })
-			if tt.during != nil {
+			switch {
+			case tt.claimed:
+				dp.waitClaimed(id)
+				tt.during(dp)
+			case tt.during != nil:
 				time.Sleep(actAfter)
 				tt.during(dp)
 			}
