--- a/internal/container/quota/quota.go
+++ b/internal/container/quota/quota.go
@@ -18,7 +18,7 @@
 // Pool is a number of bytes that all messages share. Its methods may be called by
 // any number of goroutines. The zero value has no bytes.
 type Pool struct {
-	// left is negative only for a moment, while a reservation fails.
+	// left is never negative.
 	left atomic.Int64
 }
 
@@ -42,11 +42,15 @@
 }
 
 func (pl *Pool) reserve(count int64) bool {
-	if pl.left.Add(-count) >= 0 {
-		return true
+	for {
+		left := pl.left.Load()
+		if left < count {
+			return false
+		}
+		if pl.left.CompareAndSwap(left, left-count) {
+			return true
+		}
 	}
-	pl.left.Add(count)
-	return false
 }
 
 // ended is the count of a lease that has ended. It stays negative whatever is
@@ -112,15 +116,32 @@
 		}
 		start := len(message)
 		message = append(message, make([]byte, want)...)
-		count, err := io.ReadFull(from, message[start:])
+		count, err := fill(from, message[start:])
 		message = message[:start+count]
 		switch {
 		case int64(len(message)) > limit:
 			return nil, ErrTooLarge
-		case size < 0 && (errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)):
+		case errors.Is(err, io.EOF) && size < 0:
 			return message, nil
-		case err != nil:
+		case errors.Is(err, io.EOF) && int64(len(message)) < size:
+			return nil, fmt.Errorf("read message: %w", io.ErrUnexpectedEOF)
+		case err != nil && !errors.Is(err, io.EOF):
 			return nil, fmt.Errorf("read message: %w", err)
 		}
 	}
 }
+
+// fill reads until the buffer is full or reading fails. Unlike io.ReadFull it
+// returns the reader's own error, since a message that is cut off must not look like
+// one that ends.
+func fill(from io.Reader, buffer []byte) (int, error) {
+	filled := 0
+	for filled < len(buffer) {
+		count, err := from.Read(buffer[filled:])
+		filled += count
+		if err != nil {
+			return filled, err
+		}
+	}
+	return filled, nil
+}
--- a/internal/container/quota/quota_test.go
+++ b/internal/container/quota/quota_test.go
@@ -31,6 +31,8 @@
 		{name: "longer than the limit", text: "0123456789a", size: -1, limit: 10, pool: 100, err: ErrTooLarge},
 		{name: "announced as too long", text: "0123456789a", size: 11, limit: 10, pool: 100, err: ErrTooLarge},
 		{name: "ends early", text: "01234", size: 10, limit: 100, pool: 100, err: io.ErrUnexpectedEOF},
+		{name: "cut off", text: "01234", size: -1, limit: 100, pool: 200, end: io.ErrUnexpectedEOF, err: io.ErrUnexpectedEOF},
+		{name: "cut off at a boundary", text: strings.Repeat("x", firstRead), size: -1, limit: 1 << 20, pool: 1 << 20, end: io.ErrUnexpectedEOF, err: io.ErrUnexpectedEOF},
 		{name: "broken", text: "01234", size: -1, limit: 100, pool: 200, end: errBroken, err: errBroken},
 		{name: "no memory left", text: long, size: -1, limit: 1 << 20, pool: 100 << 10, err: ErrExhausted},
 	}
