Hold no capacity for a queued request that gave up

Cause: the dispatch goroutine reserved capacity for a queued request before it knew whether the request still waited. A caller that gave up at that moment returned while the gate still counted its parts, so that other requests found the gate full. Change: the gate offers capacity; a request that gives up during an offer waits until the gate has taken it back.

--- a/internal/query/admit/gate.go
+++ b/internal/query/admit/gate.go
@@ -41,6 +41,9 @@
 // The states of a ticket.
 const (
 	ticketWaiting int32 = iota
+	// ticketOffered is set while the dispatch goroutine looks for capacity for a
+	// queued request.
+	ticketOffered
 	ticketGranted
 	ticketAbandoned
 )
@@ -180,7 +183,7 @@
 // waitInQueue waits until the request is admitted, or until its deadline can no
 // longer be met or the context ends, and then refuses it.
 func (gt *Gate) waitInQueue(ctx context.Context, tk *Ticket, rq Request) (*Ticket, error) {
-	wt := &waiter{ticket: tk, deadline: rq.Deadline, granted: make(chan struct{})}
+	wt := &waiter{ticket: tk, deadline: rq.Deadline, settled: make(chan struct{})}
 	gt.countQueued(tk, 1)
 	select {
 	case gt.arrivals <- wt:
@@ -192,13 +195,13 @@
 	waitCtx, cancel := context.WithDeadline(ctx, latest)
 	defer cancel()
 	select {
-	case <-wt.granted:
+	case <-wt.settled:
 		gt.countQueued(tk, -1)
 		return tk, nil
 	case <-waitCtx.Done():
 	}
 	gt.countQueued(tk, -1)
-	if !tk.state.CompareAndSwap(ticketWaiting, ticketAbandoned) {
+	if !wt.abandon() {
 		return tk, nil
 	}
 	gt.signal()
@@ -255,9 +258,8 @@
 	return now.Add(wait + gt.expectedDuration(rq.Class)).Sub(rq.Deadline)
 }
 
-// tryAdmit admits a request if there is capacity for it and it was not
-// abandoned. A request with more parts than the capacity is admitted while
-// nothing is in flight.
+// tryAdmit admits a request if there is capacity for it. A request with more parts
+// than the capacity is admitted while nothing is in flight.
 func (gt *Gate) tryAdmit(tk *Ticket) bool {
 	if !gt.mayAdmit(tk) {
 		return false
@@ -271,10 +273,6 @@
 			break
 		}
 	}
-	if !tk.state.CompareAndSwap(ticketWaiting, ticketGranted) {
-		gt.inFlight.Add(-tk.parts)
-		return false
-	}
 	tk.heldParts.Store(tk.parts)
 	tk.team.inFlight.Add(tk.parts)
 	tk.team.requests.Add(1)
@@ -284,6 +282,31 @@
 	return true
 }
 
+// offer admits a queued request if there is capacity for it, and reports whether the
+// request is settled: admitted or abandoned.
+func (gt *Gate) offer(wt *waiter) bool {
+	tk := wt.ticket
+	if !tk.state.CompareAndSwap(ticketWaiting, ticketOffered) {
+		return true
+	}
+	// The requester may read the ticket as soon as it is admitted.
+	tk.startedAt = time.Now()
+	admitted := gt.tryAdmit(tk)
+	next := ticketWaiting
+	if admitted {
+		next = ticketGranted
+	}
+	abandoned := !tk.state.CompareAndSwap(ticketOffered, next)
+	if abandoned && admitted {
+		gt.giveBack(tk)
+	}
+	if abandoned || admitted {
+		close(wt.settled)
+		return true
+	}
+	return false
+}
+
 // mayAdmit reports whether the request keeps within its team's limit and share
 // and the share of its class.
 func (gt *Gate) mayAdmit(tk *Ticket) bool {
@@ -343,8 +366,13 @@
 	if whole {
 		updateMean(&tk.gate.meanWholeNanos, now.Sub(tk.startedAt))
 	}
+	tk.gate.giveBack(tk)
+}
+
+// giveBack ends the admission of a request and releases its remaining parts.
+func (gt *Gate) giveBack(tk *Ticket) {
 	tk.team.requests.Add(-1)
-	tk.gate.release(tk, max(tk.heldParts.Swap(0), 0))
+	gt.release(tk, max(tk.heldParts.Swap(0), 0))
 }
 
 func (gt *Gate) release(tk *Ticket, parts int64) {
@@ -402,16 +430,10 @@
 			if wt == nil {
 				break
 			}
-			// The requester may read the ticket as soon as it is admitted.
-			wt.ticket.startedAt = time.Now()
-			if !gt.tryAdmit(wt.ticket) {
-				if wt.ticket.state.Load() == ticketAbandoned {
-					continue
-				}
+			if !gt.offer(wt) {
 				return
 			}
 			cq.removeFirst(wt)
-			close(wt.granted)
 		}
 	}
 }
--- a/internal/query/admit/queue.go
+++ b/internal/query/admit/queue.go
@@ -11,8 +11,26 @@
 type waiter struct {
 	ticket   *Ticket
 	deadline time.Time
-	// granted is closed when the request is admitted.
-	granted chan struct{}
+	// settled is closed when the request is admitted, or when the gate has seen that
+	// it was abandoned while being offered capacity.
+	settled chan struct{}
+}
+
+// abandon gives up a queued request, unless it was admitted meanwhile, and reports
+// whether it did. Once it returns, the gate holds no capacity for the request.
+func (wt *waiter) abandon() bool {
+	state := &wt.ticket.state
+	for {
+		switch {
+		case state.CompareAndSwap(ticketWaiting, ticketAbandoned):
+			return true
+		case state.CompareAndSwap(ticketOffered, ticketAbandoned):
+			<-wt.settled
+			return true
+		case state.Load() == ticketGranted:
+			return false
+		}
+	}
 }
 
 // deadlineHeap orders the waiters of one team, earliest deadline first.
