Count the age of a deletion from when an entry VM first saw it

A trace shows the removal of the record, not a draining state: such a server is kept for 2.3 s, since its record may have lapsed. The entry VM pulled the deletion from a peer 1.0 s after the watcher had it (above 8 peers news takes up to a round of heartbeats a hop), and counted the 2.3 s from then. Ruled out: a record that is not applied, hubs that disagree. Change: a pulled deletion carries its age, and the time to keep the server counts from when the first entry VM saw it.

--- a/internal/peer/entry/cluster_test.go
+++ b/internal/peer/entry/cluster_test.go
@@ -83,7 +83,7 @@
 		return nil, err
 	}
 	reply := &entrypb.PullReply{}
-	return reply, roundTrip(mm, cr.HandlePull(rq), reply)
+	return reply, roundTrip(mm, cr.HandlePull(time.Now(), rq), reply)
 }
 
 // newClusters returns clusters without objects, with the first nine as seeds.
--- a/internal/peer/entry/grpc.go
+++ b/internal/peer/entry/grpc.go
@@ -178,5 +178,5 @@
 
 // Pull implements entrypb.EntryServer.
 func (sr *Server) Pull(_ context.Context, rq *entrypb.PullRequest) (*entrypb.PullReply, error) {
-	return sr.Cluster.HandlePull(rq), nil
+	return sr.Cluster.HandlePull(time.Now(), rq), nil
 }
--- a/internal/peer/entry/sync.go
+++ b/internal/peer/entry/sync.go
@@ -62,13 +62,14 @@
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), pullTimeout)
 	defer cancel()
+	sentAt := time.Now()
 	pulled, err := cr.Transport.Pull(ctx, address, &entrypb.PullRequest{After: after, Have: cr.Replica.Current().Digests(after)})
 	if err != nil {
 		events.PeerFailed.Log(cr.Log, zap.String("address", address), zap.Error(err))
 		return false
 	}
 	before := cr.Replica.Current().Digest
-	cr.Replica.Apply(time.Now(), cr.Replica.Current().Newer(decodeObjects(pulled.Objects)))
+	cr.Replica.Apply(time.Now(), cr.Replica.Current().Newer(decodeObjects(sentAt, pulled.Objects)))
 	digest := cr.Replica.Current().Digest
 	if digest != before {
 		events.PulledFromPeer.Log(cr.Log, zap.String("peer", reply.GetSender().GetName()), zap.Int64("version", pulled.Version))
@@ -76,22 +77,29 @@
 	return digest == reply.Digest
 }
 
-func decodeObjects(pulled []*entrypb.Object) []view.Object {
+// decodeObjects decodes the objects of a pull. Ages are subtracted from sentAt, when
+// the pull was sent, so that no change is taken for more recent than it is.
+func decodeObjects(sentAt time.Time, pulled []*entrypb.Object) []view.Object {
 	objects := make([]view.Object, len(pulled))
 	for i, ob := range pulled {
 		objects[i] = view.Object{Key: ob.Key, Version: ob.Version, Value: ob.Value, Deleted: ob.Deleted}
+		if ob.Deleted {
+			objects[i].SeenAt = sentAt.Add(-time.Duration(ob.AgeMs) * time.Millisecond)
+		}
 	}
 	return objects
 }
 
 // HandlePull returns the objects that a peer requests.
-func (cr *Cluster) HandlePull(rq *entrypb.PullRequest) *entrypb.PullReply {
+func (cr *Cluster) HandlePull(now time.Time, rq *entrypb.PullRequest) *entrypb.PullReply {
 	cp := cr.Replica.Current()
 	reply := &entrypb.PullReply{Version: cp.Version}
 	for _, ob := range cp.NewerThan(rq.After, rq.Have) {
-		reply.Objects = append(reply.Objects, &entrypb.Object{
-			Key: ob.Key, Version: ob.Version, Value: ob.Value, Deleted: ob.Deleted,
-		})
+		message := &entrypb.Object{Key: ob.Key, Version: ob.Version, Value: ob.Value, Deleted: ob.Deleted}
+		if ob.Deleted && !ob.SeenAt.IsZero() {
+			message.AgeMs = ageMillis(now, ob.SeenAt)
+		}
+		reply.Objects = append(reply.Objects, message)
 	}
 	return reply
 }
--- a/internal/world/view/fleet.go
+++ b/internal/world/view/fleet.go
@@ -259,7 +259,8 @@
 }
 
 // Apply returns the fleet with objects applied, and an error for each that can't be
-// applied. removalDelay is how long a server is kept after its record disappeared.
+// applied. removalDelay is how long a server is kept after an entry VM first saw that
+// its record disappeared.
 func (fl Fleet) Apply(now time.Time, removalDelay time.Duration, codec FleetCodec, objects []Object) (Fleet, []error) {
 	var refused []error
 	next := fl.update(func(dr *draft) {
@@ -273,6 +274,9 @@
 }
 
 func (dr *draft) apply(now time.Time, removalDelay time.Duration, codec FleetCodec, ob Object) error {
+	if ob.SeenAt.IsZero() {
+		ob.SeenAt = now
+	}
 	cp, changed, err := dr.Copy.With(ob)
 	if err != nil || !changed {
 		return err
@@ -281,7 +285,7 @@
 	name, isServer := strings.CutPrefix(ob.Key, PrefixFleetServers)
 	switch {
 	case isServer && ob.Deleted:
-		dr.removeServer(now, name, now.Add(removalDelay))
+		dr.removeServer(now, name, ob.SeenAt.Add(removalDelay))
 		return nil
 	case isServer:
 		sv, err := codec.Server(now, name, ob.Value)
--- a/internal/world/view/view.go
+++ b/internal/world/view/view.go
@@ -10,6 +10,7 @@
 	"net"
 	"strconv"
 	"strings"
+	"time"
 
 	"daisystage.example/daisystage/internal/container/cowmap"
 	"daisystage.example/daisystage/internal/world/contract"
@@ -39,6 +40,9 @@
 	Value   string
 	// Deleted marks the record of a deletion.
 	Deleted bool
+	// SeenAt is when the change became known to the first entry VM that passed it on;
+	// zero if unknown. It does not count in digests.
+	SeenAt time.Time
 }
 
 // Token grants its bearer access to one subtree of settings.
