A call that its caller gave up is no outage of the platform

Entry VMs that agree on an outage go on with the settings that they have. Change: a call counts as failed only if its caller still waits. Before: TestIsDown fails (the caller's time is over). After: passes. An answer that can't be read still counts as none, since something between may have written it.

--- a/internal/peer/platform/store.go
+++ b/internal/peer/platform/store.go
@@ -79,7 +79,7 @@
 	reads   *rate.Limiter
 	writes  *rate.Limiter
 	// Reads and Writes count the calls, including those that the rate limit
-	// refused; Failures counts those that got no answer and were not canceled.
+	// refused; Failures counts those that got no answer and were not given up by their caller.
 	Reads, Writes, Failures atomic.Int64
 	// failedAt is when a call last failed without an answer, answeredAt when one
 	// was last answered, in Unix nanoseconds.
@@ -105,19 +105,20 @@
 	return cl, nil
 }
 
-// IsDown reports whether the most recently finished call got no answer.
+// IsDown reports whether the most recently finished call got no answer, or one that
+// says that the platform is unavailable. Calls that their caller gave up do not count.
 func (cl *Client) IsDown() bool {
 	return cl.failedAt.Load() > cl.answeredAt.Load()
 }
 
 // call makes one call within the rate limit. If there is no answer, later calls
 // use the next address.
-func call[R any](ctx context.Context, cl *Client, limiter *rate.Limiter, timeout time.Duration, do func(context.Context, *platformapi.Client) (R, error)) (R, error) {
+func call[R any](caller context.Context, cl *Client, limiter *rate.Limiter, timeout time.Duration, do func(context.Context, *platformapi.Client) (R, error)) (R, error) {
 	var none R
-	if err := limiter.Wait(ctx); err != nil {
+	if err := limiter.Wait(caller); err != nil {
 		return none, fmt.Errorf("%w: %w", ErrRateLimited, err)
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := context.WithTimeout(caller, timeout)
 	defer cancel()
 	at := cl.current.Load()
 	rs, err := do(ctx, cl.clients[at%int64(len(cl.clients))])
@@ -129,7 +130,7 @@
 		cl.answeredAt.Store(time.Now().UnixNano())
 		return none, known
 	}
-	if !errors.Is(err, context.Canceled) {
+	if caller.Err() == nil {
 		cl.Failures.Add(1)
 		cl.failedAt.Store(time.Now().UnixNano())
 		cl.current.CompareAndSwap(at, at+1)
--- /dev/null
+++ b/internal/peer/platform/store_test.go
@@ -0,0 +1,88 @@
+package platform_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"daisystage.example/daisystage/internal/peer/platform"
+)
+
+// TestIsDown checks which ends of a call mean that the platform is down. Entry VMs that
+// agree on that go on with the settings that they have, so that a call that was given
+// up, or that has an answer, must not count.
+func TestIsDown(t *testing.T) {
+	const slow = 100 * time.Millisecond
+	tests := []struct {
+		name   string
+		answer http.HandlerFunc
+		// timeout is the time that the caller has; 0 if it has no bound.
+		timeout time.Duration
+		want    bool
+	}{
+		{"answer", failWith(http.StatusNotFound, "not_found"), 0, false},
+		{"conflict", failWith(http.StatusConflict, "conflict"), 0, false},
+		{"too large", failWith(http.StatusRequestEntityTooLarge, "too_large"), 0, false},
+		{"compacted", failWith(http.StatusGone, "compacted"), 0, false},
+		{"unavailable", failWith(http.StatusServiceUnavailable, "unavailable"), 0, true},
+		// Something between may have written it.
+		{"answer that can't be read", failWith(http.StatusBadGateway, "bad_gateway"), 0, true},
+		{"no answer", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, 0, true},
+		{"the caller's time is over", func(_ http.ResponseWriter, rq *http.Request) { sleep(rq.Context(), slow) }, slow / 5, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			hs := httptest.NewServer(tt.answer)
+			defer hs.Close()
+			cl, err := platform.New([]string{hs.Listener.Addr().String()}, hs.Client(), platform.RateLimits{ReadsPerSecond: 10, WritesPerSecond: 10})
+			assert.NilError(t, err)
+			ctx := t.Context()
+			if tt.timeout > 0 {
+				var cancel context.CancelFunc
+				ctx, cancel = context.WithTimeout(ctx, tt.timeout)
+				defer cancel()
+			}
+			_, err = cl.Get(ctx, "teams/a/limits")
+			assert.Assert(t, err != nil)
+			assert.Equal(t, cl.IsDown(), tt.want, "%v", err)
+			assert.Equal(t, cl.Failures.Load() > 0, tt.want)
+		})
+	}
+}
+
+// TestCallOutOfRateIsNoFailure makes more calls than the process may make.
+func TestCallOutOfRateIsNoFailure(t *testing.T) {
+	hs := httptest.NewServer(failWith(http.StatusNotFound, "not_found"))
+	defer hs.Close()
+	cl, err := platform.New([]string{hs.Listener.Addr().String()}, hs.Client(), platform.RateLimits{ReadsPerSecond: 1, WritesPerSecond: 1})
+	assert.NilError(t, err)
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	refused := false
+	for range 10 {
+		_, err := cl.Get(ctx, "teams/a/limits")
+		refused = refused || errors.Is(err, platform.ErrRateLimited)
+	}
+	assert.Assert(t, refused)
+	assert.Assert(t, !cl.IsDown())
+}
+
+func failWith(status int, code string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		w.WriteHeader(status)
+		_, _ = w.Write([]byte(`{"code":"` + code + `","reason":"test"}`))
+	}
+}
+
+func sleep(ctx context.Context, duration time.Duration) {
+	select {
+	case <-time.After(duration):
+	case <-ctx.Done():
+	}
+}
