Stop serve as forward stops, without http.Server.Shutdown

Change: the listener that stops without cutting a request moves from node/forwardvm to peer/callerhttp, and both kinds of process use it. serve also logs a stop that is cut short. Before: TestStopAnswersRequestsThatArriveLate fails with an unexpected end of the connection. After: passes; TestRollingRestartCutsNoRequest passes. Its other tests moved with the code, unchanged but for the constructor.

--- a/internal/node/entryvm/process.go
+++ b/internal/node/entryvm/process.go
@@ -19,6 +19,7 @@
 	"daisystage.example/daisystage/internal/node/metrics"
 	"daisystage.example/daisystage/internal/peer/backend"
 	"daisystage.example/daisystage/internal/peer/caller"
+	"daisystage.example/daisystage/internal/peer/callerhttp"
 	"daisystage.example/daisystage/internal/peer/entry"
 	"daisystage.example/daisystage/internal/peer/operator"
 	"daisystage.example/daisystage/internal/peer/platform"
@@ -81,7 +82,8 @@
 	startedAt      time.Time
 	recentReceipts *ring.Ring[contract.Receipt]
 	callerHandler  *caller.Handler
-	servers        []*http.Server
+	// callerListener accepts the callers' connections.
+	callerListener *callerhttp.Listener
 	grpc           *grpc.Server
 	transport      *entry.GRPCTransport
 	// phase is "serving", "leaving" or "draining"; the dump shows it.
@@ -201,8 +203,7 @@
 	ps.Cluster.TriggerRound()
 }
 
-// listen opens the caller, operator and entry listeners and serves on them. The
-// caller listener comes first in ps.servers, which Stop relies on.
+// listen opens the caller, operator and entry listeners and serves on them.
 func (ps *Process) listen(nw Network) error {
 	callers, err := ps.callerHandler.Routes()
 	if err != nil {
@@ -216,12 +217,17 @@
 	if err != nil {
 		return err
 	}
-	if err := ps.serveHTTP(nw, ps.Config.CallerAddress, callers); err != nil {
+	callerServer, raw, err := ps.listenHTTP(nw, ps.Config.CallerAddress, callers)
+	if err != nil {
 		return err
 	}
-	if err := ps.serveHTTP(nw, ps.Config.OperatorAddress, operatorRoutes); err != nil {
+	ps.callerListener = callerhttp.Listen(raw, callerServer)
+	ps.group.Go(func() { _ = callerServer.Serve(ps.callerListener) })
+	operatorServer, operatorListener, err := ps.listenHTTP(nw, ps.Config.OperatorAddress, operatorRoutes)
+	if err != nil {
 		return err
 	}
+	ps.group.Go(func() { _ = operatorServer.Serve(operatorListener) })
 	ls, err := nw.Listen(ps.Config.EntryAddress)
 	if err != nil {
 		return fmt.Errorf("listen on entry_address: %w", err)
@@ -232,16 +238,16 @@
 	return nil
 }
 
-func (ps *Process) serveHTTP(nw Network, address string, routes http.Handler) error {
+// listenHTTP returns a server with routes, which the process closes at its end, and
+// a listener for it.
+func (ps *Process) listenHTTP(nw Network, address string, routes http.Handler) (*http.Server, net.Listener, error) {
 	ls, err := nw.Listen(address)
 	if err != nil {
-		return fmt.Errorf("listen on %s: %w", address, err)
+		return nil, nil, fmt.Errorf("listen on %s: %w", address, err)
 	}
 	hs := &http.Server{Handler: routes, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 2 * time.Minute}
-	ps.servers = append(ps.servers, hs)
 	ps.group.Cleanup(func() { _ = hs.Close() })
-	ps.group.Go(func() { _ = hs.Serve(ls) })
-	return nil
+	return hs, ls, nil
 }
 
 // viewTarget returns the target that applies platform objects to the view.
@@ -280,7 +286,9 @@
 	time.Sleep(ps.Config.DrainFor.Duration)
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
-	_ = ps.servers[0].Shutdown(ctx)
+	if err := ps.callerListener.ShutDown(ctx); err != nil {
+		events.StopCutShort.Log(ps.Log, zap.Error(err))
+	}
 	ps.Service.Close()
 	flush, cancelFlush := context.WithTimeout(context.Background(), receiptFlushTimeout)
 	defer cancelFlush()
--- a/internal/node/forwardvm/process.go
+++ b/internal/node/forwardvm/process.go
@@ -21,6 +21,7 @@
 	"daisystage.example/daisystage/internal/node/lifecycle"
 	"daisystage.example/daisystage/internal/node/metrics"
 	"daisystage.example/daisystage/internal/peer/backend"
+	"daisystage.example/daisystage/internal/peer/callerhttp"
 	"daisystage.example/daisystage/internal/peer/entry"
 	"daisystage.example/daisystage/internal/peer/platform"
 	"daisystage.example/daisystage/internal/query/forward"
@@ -137,9 +138,8 @@
 	// about the latter.
 	departures, backOffs atomic.Int64
 	backOffLogs          *rate.Limiter
-	// callers serves callers' requests on callerListener.
-	callers        *http.Server
-	callerListener *drainListener
+	// callerListener accepts the callers' connections.
+	callerListener *callerhttp.Listener
 	grpc           *grpc.Server
 	// group holds the goroutines and clean-up functions of the process.
 	group lifecycle.Group
@@ -271,13 +271,14 @@
 
 // listen opens all listeners and serves on them.
 func (ps *Process) listen(fe FrontEnd) error {
-	var err error
-	ps.callers, ps.callerListener, err = newCallerServer(ps.Config.CallerAddress, fe.CallerHandler(ps))
+	raw, err := net.Listen("tcp", ps.Config.CallerAddress)
 	if err != nil {
-		return err
+		return fmt.Errorf("listen on %s: %w", ps.Config.CallerAddress, err)
 	}
-	ps.group.Cleanup(func() { _ = ps.callers.Close() })
-	ps.group.Go(func() { _ = ps.callers.Serve(ps.callerListener) })
+	callers := newHTTPServer(fe.CallerHandler(ps))
+	ps.callerListener = callerhttp.Listen(raw, callers)
+	ps.group.Cleanup(func() { _ = callers.Close() })
+	ps.group.Go(func() { _ = callers.Serve(ps.callerListener) })
 	listeners := []struct {
 		address string
 		handler http.Handler
@@ -306,18 +307,6 @@
 	return nil
 }
 
-// newCallerServer returns the server for callers' requests, and its listener.
-func newCallerServer(address string, handler http.Handler) (*http.Server, *drainListener, error) {
-	ls, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, nil, fmt.Errorf("listen on %s: %w", address, err)
-	}
-	hs := newHTTPServer(handler)
-	hs.ConnContext = func(ctx context.Context, raw net.Conn) context.Context { return context.WithValue(ctx, connKey{}, raw) }
-	hs.ConnState = func(raw net.Conn, state http.ConnState) { raw.(*drainConn).setState(state) }
-	return hs, &drainListener{Listener: ls}, nil
-}
-
 func newHTTPServer(handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
@@ -402,7 +391,7 @@
 	events.Draining.Log(ps.Log)
 	ctx, cancel := context.WithDeadline(context.Background(), end.Add(-finishMargin))
 	defer cancel()
-	if err := ps.callerListener.shutDown(ctx); err != nil {
+	if err := ps.callerListener.ShutDown(ctx); err != nil {
 		events.StopCutShort.Log(ps.Log, zap.Error(err))
 	}
 	ps.group.Close()
--- a/internal/node/forwardvm/drain.go
+++ b/internal/peer/callerhttp/listener.go
@@ -1,4 +1,6 @@
-package forwardvm
+// Package callerhttp accepts the HTTP connections of callers, and stops without
+// cutting a request.
+package callerhttp
 
 import (
 	"context"
@@ -25,37 +27,47 @@
 	stopCheckInterval = 10 * time.Millisecond
 )
 
-// drainListener accepts callers' connections and stops them without cutting a
-// request. http.Server.Shutdown does not: it drops each request that is read after
-// it began, and closes connections on which a request lies unread.
-type drainListener struct {
+// Listener accepts callers' connections and stops them without cutting a request.
+// http.Server.Shutdown does not: it drops each request that is read after it began,
+// and closes connections on which a request lies unread.
+type Listener struct {
 	net.Listener
-	// conns holds the open connections as *drainConn keys.
+	// conns holds the open connections as *conn keys.
 	conns sync.Map
 }
 
+// Listen returns a listener on raw that tracks the connections of server, which must
+// serve on it.
+func Listen(raw net.Listener, server *http.Server) *Listener {
+	server.ConnContext = func(ctx context.Context, accepted net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, accepted)
+	}
+	server.ConnState = func(accepted net.Conn, state http.ConnState) { accepted.(*conn).setState(state) }
+	return &Listener{Listener: raw}
+}
+
 // Accept implements net.Listener.
-func (dl *drainListener) Accept() (net.Conn, error) {
-	raw, err := dl.Listener.Accept()
+func (ls *Listener) Accept() (net.Conn, error) {
+	raw, err := ls.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	dc := &drainConn{Conn: raw, listener: dl, acceptedAt: time.Now()}
-	dl.conns.Store(dc, nil)
-	return dc, nil
+	cn := &conn{Conn: raw, listener: ls, acceptedAt: time.Now()}
+	ls.conns.Store(cn, nil)
+	return cn, nil
 }
 
-// shutDown stops accepting, and returns when all requests that callers sent on open
+// ShutDown stops accepting, and returns when all requests that callers sent on open
 // connections are answered. If the context ends before that, it returns its error.
 // The handler must let connections close after their answers.
-func (dl *drainListener) shutDown(ctx context.Context) error {
+func (ls *Listener) ShutDown(ctx context.Context) error {
 	time.Sleep(acceptGrace)
-	if err := dl.Close(); err != nil {
+	if err := ls.Close(); err != nil {
 		return fmt.Errorf("close listener: %w", err)
 	}
 	ticker := time.NewTicker(stopCheckInterval)
 	defer ticker.Stop()
-	for dl.closeIdle(time.Now()) > 0 {
+	for ls.closeIdle(time.Now()) > 0 {
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
@@ -69,24 +81,24 @@
 
 // closeIdle closes the connections that wait for no request, and returns the number
 // of the others.
-func (dl *drainListener) closeIdle(now time.Time) int {
+func (ls *Listener) closeIdle(now time.Time) int {
 	left := 0
-	dl.conns.Range(func(key, _ any) bool {
-		dc := key.(*drainConn)
-		if !dc.isIdle(now) {
+	ls.conns.Range(func(key, _ any) bool {
+		cn := key.(*conn)
+		if !cn.isIdle(now) {
 			left++
 			return true
 		}
-		_ = dc.Close()
+		_ = cn.Close()
 		return true
 	})
 	return left
 }
 
-// drainConn is a connection of a drainListener.
-type drainConn struct {
+// conn is a connection of a Listener.
+type conn struct {
 	net.Conn
-	listener   *drainListener
+	listener   *Listener
 	acceptedAt time.Time
 	// requests counts the requests on the connection.
 	requests atomic.Int64
@@ -94,40 +106,40 @@
 	state atomic.Int64
 }
 
-// connKey is the key of the *drainConn in the context of a request.
+// connKey is the key of the *conn in the context of a request.
 type connKey struct{}
 
 // IsFirstRequest reports whether the request with a context is the first one on its
 // connection.
 func IsFirstRequest(ctx context.Context) bool {
-	dc, ok := ctx.Value(connKey{}).(*drainConn)
-	return ok && dc.requests.Load() == 1
+	cn, ok := ctx.Value(connKey{}).(*conn)
+	return ok && cn.requests.Load() == 1
 }
 
 // setState is the ConnState hook of the server.
-func (dc *drainConn) setState(state http.ConnState) {
+func (cn *conn) setState(state http.ConnState) {
 	if state == http.StateActive {
-		dc.requests.Add(1)
+		cn.requests.Add(1)
 	}
-	dc.state.Store(int64(state))
+	cn.state.Store(int64(state))
 }
 
 // isIdle reports whether the connection waits for a request of which nothing has
 // arrived. The first request of a connection may take newConnWait.
-func (dc *drainConn) isIdle(now time.Time) bool {
-	switch http.ConnState(dc.state.Load()) {
+func (cn *conn) isIdle(now time.Time) bool {
+	switch http.ConnState(cn.state.Load()) {
 	case http.StateNew:
-		return now.Sub(dc.acceptedAt) > newConnWait && !hasUnread(dc.Conn)
+		return now.Sub(cn.acceptedAt) > newConnWait && !hasUnread(cn.Conn)
 	case http.StateIdle:
-		return !hasUnread(dc.Conn)
+		return !hasUnread(cn.Conn)
 	}
 	return false
 }
 
 // Close implements net.Conn.
-func (dc *drainConn) Close() error {
-	dc.listener.conns.Delete(dc)
-	return dc.Conn.Close()
+func (cn *conn) Close() error {
+	cn.listener.conns.Delete(cn)
+	return cn.Conn.Close()
 }
 
 // hasUnread reports without blocking whether bytes have arrived on a connection
--- a/internal/node/forwardvm/drain_test.go
+++ b/internal/peer/callerhttp/listener_test.go
@@ -1,4 +1,4 @@
-package forwardvm
+package callerhttp
 
 import (
 	"bufio"
@@ -16,24 +16,32 @@
 
 const testRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 
+// serve starts a server with a handler.
+func serve(t *testing.T, handler http.Handler) *Listener {
+	t.Helper()
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	hs := &http.Server{Handler: handler}
+	dl := Listen(raw, hs)
+	go func() { _ = hs.Serve(dl) }()
+	t.Cleanup(func() { _ = hs.Close() })
+	return dl
+}
+
 // startCallerServer starts a server whose answers let connections close, as in a
 // stop, unless keep is set.
-func startCallerServer(t *testing.T, keep bool) *drainListener {
+func startCallerServer(t *testing.T, keep bool) *Listener {
 	t.Helper()
-	hs, dl, err := newCallerServer("127.0.0.1:0", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	return serve(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		time.Sleep(5 * time.Millisecond)
 		if !keep {
 			w.Header().Set("Connection", "close")
 		}
 		w.WriteHeader(http.StatusNoContent)
 	}))
-	assert.NilError(t, err)
-	go func() { _ = hs.Serve(dl) }()
-	t.Cleanup(func() { _ = hs.Close() })
-	return dl
 }
 
-func connect(t *testing.T, dl *drainListener) net.Conn {
+func connect(t *testing.T, dl *Listener) net.Conn {
 	t.Helper()
 	cn, err := net.Dial("tcp", dl.Addr().String())
 	assert.NilError(t, err)
@@ -70,7 +78,7 @@
 	defer cancel()
 	stopped := make(chan error, 1)
 	startedAt := time.Now()
-	go func() { stopped <- dl.shutDown(ctx) }()
+	go func() { stopped <- dl.ShutDown(ctx) }()
 	for _, cn := range early {
 		expectAnswer(t, cn)
 	}
@@ -95,7 +103,7 @@
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 	defer cancel()
 	startedAt := time.Now()
-	assert.NilError(t, dl.shutDown(ctx))
+	assert.NilError(t, dl.ShutDown(ctx))
 	assert.Assert(t, time.Since(startedAt) < 2*newConnWait)
 	for _, cn := range []net.Conn{idle, silent} {
 		_, err := cn.Read(make([]byte, 1))
@@ -108,12 +116,12 @@
 func TestRequestThatLiesUnreadIsNotIdle(t *testing.T) {
 	ls, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	dl := &drainListener{Listener: ls}
+	dl := &Listener{Listener: ls}
 	defer func() { _ = dl.Close() }()
 	caller := connect(t, dl)
 	accepted, err := dl.Accept()
 	assert.NilError(t, err)
-	dc := accepted.(*drainConn)
+	dc := accepted.(*conn)
 	later := time.Now().Add(2 * newConnWait)
 	for _, state := range []http.ConnState{http.StateNew, http.StateIdle} {
 		dc.setState(state)
@@ -135,26 +143,20 @@
 // TestStopIsCutShort stops a server whose request outlasts the time for it.
 func TestStopIsCutShort(t *testing.T) {
 	release := make(chan struct{})
-	hs, dl, err := newCallerServer("127.0.0.1:0", http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-release }))
-	assert.NilError(t, err)
-	go func() { _ = hs.Serve(dl) }()
-	defer func() { _ = hs.Close() }()
+	dl := serve(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-release }))
 	defer close(release)
 	send(t, connect(t, dl))
 	time.Sleep(20 * time.Millisecond)
 	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
 	defer cancel()
-	assert.Assert(t, errors.Is(dl.shutDown(ctx), errRequestsLeft))
+	assert.Assert(t, errors.Is(dl.ShutDown(ctx), errRequestsLeft))
 }
 
 func TestFirstRequestOfConnection(t *testing.T) {
 	var first []bool
-	hs, dl, err := newCallerServer("127.0.0.1:0", http.HandlerFunc(func(_ http.ResponseWriter, rq *http.Request) {
+	dl := serve(t, http.HandlerFunc(func(_ http.ResponseWriter, rq *http.Request) {
 		first = append(first, IsFirstRequest(rq.Context()))
 	}))
-	assert.NilError(t, err)
-	go func() { _ = hs.Serve(dl) }()
-	defer func() { _ = hs.Close() }()
 	for range 2 {
 		client := &http.Client{Transport: &http.Transport{}}
 		for range 3 {
