Return partial answers by the measured round trip to the caller

Change: the margin is 8 ms and the round trip that the operating system has measured on the caller's connection, and two more of them for the first call on it; at most half of the goal. The log line of a call has the round trip. TestPartialAnswerIsInTime does not compile before; by arithmetic the old constants fail it for callers in another zone.

--- a/internal/node/forwardvm/observer.go
+++ b/internal/node/forwardvm/observer.go
@@ -94,6 +94,7 @@
 	rl.event.Log(ob.log,
 		zap.String("request_id", rc.ID), zap.String("route", rc.Route), zap.Int64("table_version", rc.TableVersion),
 		zap.Duration("table_age", rc.Age), zap.Duration("took", rc.Took),
+		zap.Duration("round_trip", rc.RoundTrip),
 		zap.String("outcome", string(rc.Outcome)), zap.String("code", string(rc.Code)), zap.String("reason", rc.Reason),
 		zap.Int("answered", rc.Coverage.Answered), zap.Int("total", rc.Coverage.Total),
 		zap.Int("hedges", rc.Hedges), zap.Int("retries", rc.Retries), zap.String("missed", formatFailedAttempts(rc)),
--- a/internal/peer/callerhttp/listener.go
+++ b/internal/peer/callerhttp/listener.go
@@ -12,6 +12,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -116,6 +118,37 @@
 	return ok && cn.requests.Load() == 1
 }
 
+// RoundTrip returns the smoothed round-trip time of the connection of the request with
+// a context, as measured by the operating system; 0 if it is unknown.
+func RoundTrip(ctx context.Context) time.Duration {
+	cn, ok := ctx.Value(connKey{}).(*conn)
+	if !ok {
+		return 0
+	}
+	return roundTripOf(cn.Conn)
+}
+
+func roundTripOf(raw net.Conn) time.Duration {
+	sc, ok := raw.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	rc, err := sc.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	roundTrip := time.Duration(0)
+	err = rc.Control(func(descriptor uintptr) {
+		if info, err := unix.GetsockoptTCPInfo(int(descriptor), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			roundTrip = time.Duration(info.Rtt) * time.Microsecond
+		}
+	})
+	if err != nil {
+		return 0
+	}
+	return roundTrip
+}
+
 // setState is the ConnState hook of the server.
 func (cn *conn) setState(state http.ConnState) {
 	if state == http.StateActive {
--- a/internal/peer/callerhttp/listener_test.go
+++ b/internal/peer/callerhttp/listener_test.go
@@ -169,3 +169,18 @@
 	assert.DeepEqual(t, first, []bool{true, false, false, true, false, false})
 	assert.Assert(t, !IsFirstRequest(t.Context()))
 }
+
+// TestRoundTrip reads the round-trip time of a connection on the same machine, and of a
+// request without a connection.
+func TestRoundTrip(t *testing.T) {
+	measured := make(chan time.Duration, 1)
+	ls := serve(t, http.HandlerFunc(func(_ http.ResponseWriter, rq *http.Request) { measured <- RoundTrip(rq.Context()) }))
+	send(t, connect(t, ls))
+	roundTrip := <-measured
+	assert.Assert(t, roundTrip > 0 && roundTrip < time.Second, "%s", roundTrip)
+	assert.Equal(t, RoundTrip(t.Context()), time.Duration(0))
+	first, second := net.Pipe()
+	defer func() { _ = first.Close() }()
+	defer func() { _ = second.Close() }()
+	assert.Equal(t, roundTripOf(first), time.Duration(0))
+}
--- a/internal/query/forward/forward.go
+++ b/internal/query/forward/forward.go
@@ -42,6 +42,8 @@
 	// IsFirst is set for the first call on a connection: before it, the caller
 	// looked the entry VM up and connected.
 	IsFirst bool
+	// RoundTrip is the round-trip time to the caller; 0 if it is unknown.
+	RoundTrip time.Duration
 	// Memory holds the memory of the call and its answers; the front end ends it
 	// when the reply is written. Nil sets no bound.
 	Memory *quota.Lease
@@ -83,16 +85,18 @@
 	Route        string
 	TableVersion int64
 	// Age is the time since the platform last confirmed the configuration.
-	Age      time.Duration
-	Took     time.Duration
-	Outcome  contract.Outcome
-	Code     contract.Code
-	Reason   string
-	Coverage contract.Coverage
-	Sends    int
-	Hedges   int
-	Retries  int
-	Parts    []contract.PartRecord
+	Age time.Duration
+	// RoundTrip is that of the call.
+	RoundTrip time.Duration
+	Took      time.Duration
+	Outcome   contract.Outcome
+	Code      contract.Code
+	Reason    string
+	Coverage  contract.Coverage
+	Sends     int
+	Hedges    int
+	Retries   int
+	Parts     []contract.PartRecord
 }
 
 // Runner runs jobs; scatter.Engine implements it for any choice of policies.
@@ -136,15 +140,17 @@
 const (
 	// replyMargin is reserved before the caller's deadline to return the answer.
 	replyMargin = 15 * time.Millisecond
-	// goalMargin is reserved before a route's latency goal, for the network
-	// between caller and entry VM and for processing. It is at most
-	// maxGoalMarginPercent of the goal. Before the first call on a connection the
-	// caller has spent two more round trips on connections to the directory and to
-	// this VM and one on the lookup, which firstGoalMargin covers.
-	goalMargin                = 14 * time.Millisecond
-	maxGoalMarginPercent      = 25
-	firstGoalMargin           = 24 * time.Millisecond
-	maxFirstGoalMarginPercent = 40
+	// processingMargin is reserved before a route's latency goal for reading the
+	// request and writing the answer, beside the round trip to the caller.
+	processingMargin = 8 * time.Millisecond
+	// defaultRoundTrip is assumed for callers whose distance is unknown.
+	defaultRoundTrip = 6 * time.Millisecond
+	// firstRoundTrips is the number of round trips that the caller has made before the
+	// first call on a connection: it connects to the directory, asks it, and connects
+	// to this VM. The directory is often nearer.
+	firstRoundTrips = 2
+	// maxGoalMarginPercent bounds the time reserved before a goal.
+	maxGoalMarginPercent = 50
 	// minSendTime is the least remaining time with which a request is still sent.
 	minSendTime = 2 * time.Millisecond
 )
@@ -162,7 +168,7 @@
 
 // Run answers one call. Its error is a *contract.Refusal.
 func (sv *Service) Run(ctx context.Context, now time.Time, cl Call) (*Reply, error) {
-	rn := &run{call: cl, fleet: sv.Fleets.Load(), started: now, record: &CallRecord{ID: cl.Message.ID}}
+	rn := &run{call: cl, fleet: sv.Fleets.Load(), started: now, record: &CallRecord{ID: cl.Message.ID, RoundTrip: cl.RoundTrip}}
 	reply, err := sv.answer(ctx, now, rn)
 	sv.finish(time.Now(), rn, reply, err)
 	return reply, err
@@ -276,7 +282,7 @@
 		return nil, rf
 	}
 	if goal := rn.route.Goal; goal > 0 {
-		jb.PartialAfter = now.Add(goal - goalMarginOf(goal, rn.call.IsFirst))
+		jb.PartialAfter = now.Add(goal - goalMarginOf(goal, rn.call.RoundTrip, rn.call.IsFirst))
 	}
 	rs := sv.Engine.Run(ctx, jb)
 	sv.recordSends(rn, rs)
@@ -307,12 +313,16 @@
 }
 
 // goalMarginOf returns the time before a goal at which a partial answer is returned,
-// so that it reaches the caller in time.
-func goalMarginOf(goal time.Duration, isFirst bool) time.Duration {
+// so that it reaches a caller in time.
+func goalMarginOf(goal, roundTrip time.Duration, isFirst bool) time.Duration {
+	if roundTrip <= 0 {
+		roundTrip = defaultRoundTrip
+	}
+	margin := processingMargin + roundTrip
 	if isFirst {
-		return min(firstGoalMargin, goal*maxFirstGoalMarginPercent/100)
+		margin += firstRoundTrips * roundTrip
 	}
-	return min(goalMargin, goal*maxGoalMarginPercent/100)
+	return min(margin, goal*maxGoalMarginPercent/100)
 }
 
 // recordSends adds the attempts of a job to the record and to AttemptsSent.
--- a/internal/query/forward/forward_test.go
+++ b/internal/query/forward/forward_test.go
@@ -194,28 +194,57 @@
 	}
 }
 
-func TestGoalMargin(t *testing.T) {
+// TestPartialAnswerIsInTime has shards that never answer, and callers at different
+// distances. Their partial answer must arrive before the goal, counted from when the
+// caller began to look the entry VM up, or to send on a connection that it had.
+func TestPartialAnswerIsInTime(t *testing.T) {
+	const processing = 2 * time.Millisecond
 	tests := []struct {
-		goal    time.Duration
-		isFirst bool
-		want    time.Duration
+		name string
+		// roundTrip is to the entry VM, directory to the nearest directory.
+		roundTrip, directory time.Duration
+		isFirst              bool
 	}{
-		{100 * time.Millisecond, false, goalMargin},
-		{100 * time.Millisecond, true, firstGoalMargin},
-		{40 * time.Millisecond, false, 10 * time.Millisecond},
-		{40 * time.Millisecond, true, 16 * time.Millisecond},
+		{"same zone", 2 * time.Millisecond, 2 * time.Millisecond, false},
+		{"same zone, first call", 2 * time.Millisecond, 2 * time.Millisecond, true},
+		{"other zone", 13 * time.Millisecond, 6 * time.Millisecond, false},
+		{"other zone, first call", 13 * time.Millisecond, 6 * time.Millisecond, true},
+		{"far", 30 * time.Millisecond, 30 * time.Millisecond, false},
+		{"first call after a lookup that was not needed", 13 * time.Millisecond, 0, true},
 	}
+	const goal = 100 * time.Millisecond
 	for _, tt := range tests {
-		assert.Equal(t, goalMarginOf(tt.goal, tt.isFirst), tt.want)
-	}
-	fe := &fakeEngine{mayHaveRun: true, answer: func(shard string) scatter.PartResult[Answer] { return answeredPart(shard, "") }}
-	sv, _ := newService(t, fe)
-	for _, isFirst := range []bool{false, true} {
+		fe := &fakeEngine{mayHaveRun: true, answer: func(shard string) scatter.PartResult[Answer] { return answeredPart(shard, "") }}
+		sv, ro := newService(t, fe)
 		now := time.Now()
 		cl := newCall("/find/1", time.Second)
-		cl.IsFirst = isFirst
+		cl.IsFirst, cl.RoundTrip = tt.isFirst, tt.roundTrip
 		_, err := sv.Run(t.Context(), now, cl)
 		assert.NilError(t, err)
-		assert.Equal(t, fe.job.PartialAfter, now.Add(100*time.Millisecond-goalMarginOf(100*time.Millisecond, isFirst)))
+		assert.Equal(t, ro.all[0].RoundTrip, tt.roundTrip)
+		elapsed := tt.roundTrip + processing + fe.job.PartialAfter.Sub(now)
+		if tt.isFirst {
+			elapsed += tt.roundTrip + 2*tt.directory
+		}
+		assert.Assert(t, elapsed <= goal, "%s: %s", tt.name, elapsed)
+		assert.Assert(t, elapsed > goal*3/4, "%s: gives up parts too early, at %s", tt.name, elapsed)
+	}
+}
+
+func TestGoalMargin(t *testing.T) {
+	tests := []struct {
+		goal, roundTrip time.Duration
+		isFirst         bool
+		want            time.Duration
+	}{
+		{100 * time.Millisecond, 0, false, processingMargin + defaultRoundTrip},
+		{100 * time.Millisecond, 0, true, processingMargin + 3*defaultRoundTrip},
+		{100 * time.Millisecond, 2 * time.Millisecond, false, processingMargin + 2*time.Millisecond},
+		{100 * time.Millisecond, 13 * time.Millisecond, true, processingMargin + 39*time.Millisecond},
+		{40 * time.Millisecond, 30 * time.Millisecond, false, 20 * time.Millisecond},
+		{40 * time.Millisecond, 10 * time.Millisecond, true, 20 * time.Millisecond},
+	}
+	for _, tt := range tests {
+		assert.Equal(t, goalMarginOf(tt.goal, tt.roundTrip, tt.isFirst), tt.want)
 	}
 }
