Hold parts in the entry VM while servers have no room

Cause: in bursts with a few servers slow, gone or dark, two shards got more parts than their servers can run. Change: scatter.Engine has a third policy, when to send the first attempt of a part. StartWithRoom sends optional parts to short queues only, required ones up to the servers' limits and the time left; a request that can't start as many parts as it needs sends none, and is refused as overloaded after a quarter of the goal, to return after half of the time that the overload has lasted. Since requests may wait with an older fleet, a server's shared state now says that it was withdrawn. TestRunningRequestsSeeThatServersLeave failed first. It answers overload of single shards and of all; a shard whose servers are dark is still found out by each entry VM alone.

--- a/internal/node/forwardvm/process.go
+++ b/internal/node/forwardvm/process.go
@@ -228,7 +228,7 @@
 	ps.Cluster.Init()
 	ps.Service = &forward.Service{
 		Fleets: ps.Fleets, ConfirmedAt: ps.Cluster.ConfirmedAt, Quarantine: quarantine,
-		Engine: &scatter.Engine[scatter.LeastExpectedLatency, scatter.GoalHedge, forward.Attempt, forward.Answer]{
+		Engine: &scatter.Engine[scatter.LeastExpectedLatency, scatter.GoalHedge, scatter.StartWithRoom, forward.Attempt, forward.Answer]{
 			Sender: fe.NewSender(ps.Backend, ps.Fleets), Zone: zone.Zone{Name: cg.Zone, DefaultDelay: defaultZoneDelay},
 			Quarantine: quarantine, OnServerLost: ps.onServerLost,
 		},
--- a/internal/node/forwardvm/state.go
+++ b/internal/node/forwardvm/state.go
@@ -47,7 +47,11 @@
 // ServerState describes one server as this process sees it.
 type ServerState struct {
 	*machine.Server
-	InFlight     int64         `json:"in_flight"`
+	InFlight int64 `json:"in_flight"`
+	// ReportedLoad is the number of requests in the server's last report, ExpectedWait
+	// how long one more part would wait for a slot.
+	ReportedLoad int64         `json:"reported_load"`
+	ExpectedWait time.Duration `json:"expected_wait_ns"`
 	Latency      time.Duration `json:"latency_ns"`
 	FailureShare int64         `json:"miss_share_per_mille"`
 	Suspect      bool          `json:"suspect"`
@@ -76,7 +80,7 @@
 	for _, servers := range fl.Services {
 		for _, sv := range servers {
 			st.Servers = append(st.Servers, ServerState{
-				Server: sv, InFlight: sv.State.InFlight.Load(), Latency: time.Duration(sv.State.LatencyNanos.Load()),
+				Server: sv, InFlight: sv.State.InFlight.Load(), ReportedLoad: sv.State.ReportedLoad.Load(), ExpectedWait: sv.ExpectedWait(now), Latency: time.Duration(sv.State.LatencyNanos.Load()),
 				FailureShare: sv.State.FailureShare(now), Suspect: sv.State.IsSuspect(now), Leaves: sv.IsLeaving(now),
 				PartsSent: sv.State.PartsSent.Load(), Departing: sv.State.Departing.Load(), BackOffUntil: backOffUntil(sv),
 			})
--- a/internal/query/forward/available.go
+++ b/internal/query/forward/available.go
@@ -40,7 +40,10 @@
 
 // notTaken returns the refusal of a job that no server took. It tells the caller
 // to wait for servers that asked for no requests meanwhile.
-func notTaken(jb *scatter.Job[Attempt], minCoverage float64, reason string) *contract.Refusal {
+func notTaken(jb *scatter.Job[Attempt], rs *scatter.Result[Answer], minCoverage float64, reason string) *contract.Refusal {
+	if rs.Parts[0].Record.Cause == contract.CauseNoRoom {
+		return contract.NewRefusal(contract.NotRun, contract.CodeOverloaded, "too few shards have a server with room")
+	}
 	rf := contract.NewRefusal(contract.NotRun, contract.CodeNoServer, "%s", reason)
 	if unavailable := refuseUnavailable(time.Now(), jb.Shards, minCoverage); unavailable != nil {
 		rf.RetryAfter = unavailable.RetryAfter
--- a/internal/query/forward/forward.go
+++ b/internal/query/forward/forward.go
@@ -114,6 +114,7 @@
 	latency  *link.Latency
 	splitter contract.Splitter
 	outage   outage
+	overload overload
 }
 
 // Service answers calls. The exported fields are set before the first call and
@@ -268,7 +269,7 @@
 		answer := part.Answer
 		return &Reply{Answer: &answer, Coverage: contract.Coverage{Total: 1, Answered: 1}}, nil
 	case !rs.MayHaveRun:
-		return nil, notTaken(jb, rn.route.MinCoverage, "no server of "+service+" took the request")
+		return nil, notTaken(jb, &rs, rn.route.MinCoverage, "no server of "+service+" took the request")
 	}
 	return nil, contract.NewRefusal(contract.Unknown, contract.CodeNoAnswer, "no server of %s answered in time", service)
 }
@@ -301,7 +302,7 @@
 	rn.record.Coverage = reply.Coverage
 	switch {
 	case reply.Coverage.Answered == 0 && !rs.MayHaveRun:
-		return nil, notTaken(jb, rn.route.MinCoverage, "no server took a part of the request")
+		return nil, notTaken(jb, &rs, rn.route.MinCoverage, "no server took a part of the request")
 	case reply.Coverage.Answered == 0:
 		return nil, contract.NewRefusal(contract.Unknown, contract.CodeNoAnswer, "no shard answered in time")
 	case reply.Coverage.Ratio() < rn.route.MinCoverage:
@@ -363,6 +364,8 @@
 		rf.RetryAfter = sv.starting.retryAfter(now, rn.call.Message.ID, minRetryAfterStarting)
 	case rf.Code == contract.CodeNoServer:
 		rf.RetryAfter = rn.state.outage.retryAfter(now, rn.call.Message.ID, minRetryAfter)
+	case rf.Code == contract.CodeOverloaded:
+		rf.RetryAfter = rn.state.overload.retryAfter(now, rn.call.Message.ID)
 	}
 }
 
--- a/internal/query/forward/forward_test.go
+++ b/internal/query/forward/forward_test.go
@@ -114,6 +114,12 @@
 			name: "no shard ran the request", path: "/find/1", outcome: contract.NotRun, code: contract.CodeNoServer,
 			answer: func(string) scatter.PartResult[Answer] { return scatter.PartResult[Answer]{} },
 		},
+		{
+			name: "no part was sent, for lack of room", path: "/find/1", outcome: contract.NotRun, code: contract.CodeOverloaded,
+			answer: func(string) scatter.PartResult[Answer] {
+				return scatter.PartResult[Answer]{Record: contract.PartRecord{Cause: contract.CauseNoRoom}}
+			},
+		},
 		{
 			name: "may have run", path: "/save/1", mayHaveRun: true, outcome: contract.Unknown, code: contract.CodeNoAnswer,
 			answer: func(string) scatter.PartResult[Answer] { return scatter.PartResult[Answer]{} },
--- a/internal/query/forward/retry_after.go
+++ b/internal/query/forward/retry_after.go
@@ -16,6 +16,11 @@
 	// minRetryAfter is the least delay when no server accepted the request: about
 	// the time that one answer takes.
 	minRetryAfter = 50 * time.Millisecond
+	// minRetryAfterOverload is the least delay when the servers have no room: a caller
+	// that returns at once meets the same queues.
+	minRetryAfterOverload = 200 * time.Millisecond
+	// overloadGap is the time without refusals after which an overload is over.
+	overloadGap = time.Second
 	// maxRetryAfter bounds the delay, so that callers notice the end of an outage
 	// soon.
 	maxRetryAfter = time.Second
@@ -56,6 +61,22 @@
 	return delay + time.Duration(retrySpread*spread*float64(delay))
 }
 
+// overload tracks since when calls of a kind are refused because servers have no room,
+// while others are answered. Its methods may be called by any number of goroutines.
+type overload struct {
+	outage outage
+	// refusedAt is when a call was last refused, in Unix nanoseconds.
+	refusedAt atomic.Int64
+}
+
+// retryAfter records a refused call, and returns how long its caller should wait.
+func (ov *overload) retryAfter(now time.Time, id string) time.Duration {
+	if last := ov.refusedAt.Swap(now.UnixNano()); now.UnixNano()-last > int64(overloadGap) {
+		ov.outage.end()
+	}
+	return ov.outage.retryAfter(now, id, minRetryAfterOverload)
+}
+
 // RetryAfter returns how long a caller should wait before it resends a request
 // that was refused and did not run.
 func RetryAfter(rf *contract.Refusal) time.Duration {
--- a/internal/query/forward/retry_after_test.go
+++ b/internal/query/forward/retry_after_test.go
@@ -75,3 +75,19 @@
 	assert.Equal(t, RetryAfter(&contract.Refusal{}), minRetryAfter)
 	assert.Equal(t, RetryAfter(&contract.Refusal{RetryAfter: time.Second}), time.Second)
 }
+
+// TestRetryAfterOverload refuses calls among others that are answered: the delay grows
+// with the overload, and starts anew with the next one.
+func TestRetryAfterOverload(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	var ov overload
+	first := ov.retryAfter(now, "a")
+	assert.Assert(t, first >= minRetryAfterOverload && first < 2*minRetryAfterOverload, "%s", first)
+	for after := time.Duration(0); after < 5*time.Second; after += overloadGap {
+		ov.retryAfter(now.Add(after), "a")
+	}
+	late := ov.retryAfter(now.Add(5*time.Second), "a")
+	assert.Assert(t, late >= maxRetryAfter, "%s", late)
+	next := ov.retryAfter(now.Add(5*time.Second+overloadGap+time.Millisecond), "a")
+	assert.Equal(t, next, first)
+}
--- a/internal/query/scatter/canary.go
+++ b/internal/query/scatter/canary.go
@@ -10,7 +10,7 @@
 // passCanary makes sure that a request whose fingerprint was not answered
 // before is first sent to one server alone, also when several callers send it.
 // It reports whether the remaining parts may be sent.
-func (ga *gather[R, H, M, A]) passCanary(ctx context.Context) bool {
+func (ga *gather[R, H, S, M, A]) passCanary(ctx context.Context) bool {
 	quarantine := ga.engine.Quarantine
 	for !quarantine.IsProven(ga.job.Fingerprint) {
 		if quarantine.IsBlocked(time.Now(), ga.job.Fingerprint) {
@@ -33,10 +33,10 @@
 }
 
 // runCanary sends one part alone and reports whether the others may follow.
-func (ga *gather[R, H, M, A]) runCanary(ctx context.Context, now time.Time) bool {
+func (ga *gather[R, H, S, M, A]) runCanary(ctx context.Context, now time.Time) bool {
 	index := ga.canaryPart(now)
 	first := &ga.parts[index]
-	ga.startPart(ctx, now, index)
+	ga.startPart(ctx, now, index, ga.chooseReplica(now, first, ""))
 	if ga.job.Settings.Canary == contract.CanaryBrief {
 		ga.canaryUntil = now.Add(max(ga.job.Latency.Recent().P50, minHedgeDelay))
 	}
@@ -55,7 +55,7 @@
 // canaryPart returns the index of the part to send first. It depends on the
 // fingerprint and on the entry VM, so that entry VMs which run the same
 // crashing request at once don't take down all replicas of one shard.
-func (ga *gather[R, H, M, A]) canaryPart(now time.Time) int {
+func (ga *gather[R, H, S, M, A]) canaryPart(now time.Time) int {
 	rank := 0
 	if ga.engine.EntryVMRank != nil {
 		rank = ga.engine.EntryVMRank(now)
@@ -64,7 +64,7 @@
 	return int((ga.job.Fingerprint%shards + uint64(rank)) % shards)
 }
 
-func (ga *gather[R, H, M, A]) giveUpAll(cause contract.Cause) {
+func (ga *gather[R, H, S, M, A]) giveUpAll(cause contract.Cause) {
 	for i := range ga.parts {
 		if !ga.parts[i].done {
 			ga.giveUp(i, cause)
@@ -73,6 +73,6 @@
 }
 
 // isCanaryWaitOver reports whether the wait of a brief canary has ended.
-func (ga *gather[R, H, M, A]) isCanaryWaitOver(now time.Time) bool {
+func (ga *gather[R, H, S, M, A]) isCanaryWaitOver(now time.Time) bool {
 	return !ga.canaryUntil.IsZero() && !now.Before(ga.canaryUntil)
 }
--- a/internal/query/scatter/engine.go
+++ b/internal/query/scatter/engine.go
@@ -122,9 +122,10 @@
 
 // Engine runs jobs with a choice of policies. One engine is shared by all
 // requests.
-type Engine[R ReplicaPolicy, H HedgePolicy, M, A any] struct {
+type Engine[R ReplicaPolicy, H HedgePolicy, S StartPolicy, M, A any] struct {
 	Replicas   R
 	Hedges     H
+	Starts     S
 	Sender     Sender[M, A]
 	Zone       zone.Zone
 	Quarantine *contract.Quarantine
@@ -141,7 +142,7 @@
 // Run sends the job to its shards and returns when all parts are answered or
 // given up, the answer is sufficient or can't become so, or the deadline is
 // reached.
-func (en *Engine[R, H, M, A]) Run(ctx context.Context, jb *Job[M]) Result[A] {
+func (en *Engine[R, H, S, M, A]) Run(ctx context.Context, jb *Job[M]) Result[A] {
 	ga := newGather(en, jb)
 	ga.run(ctx)
 	return ga.result()
--- a/internal/query/scatter/engine_test.go
+++ b/internal/query/scatter/engine_test.go
@@ -78,9 +78,9 @@
 	return jb
 }
 
-func newEngine(fs *fakeServers) *Engine[LeastExpectedLatency, GoalHedge, string, string] {
+func newEngine(fs *fakeServers) *Engine[LeastExpectedLatency, GoalHedge, StartAtOnce, string, string] {
 	fs.sends = map[string][]string{}
-	return &Engine[LeastExpectedLatency, GoalHedge, string, string]{
+	return &Engine[LeastExpectedLatency, GoalHedge, StartAtOnce, string, string]{
 		Sender: fs, Zone: zone.Zone{Name: "zone-0", DefaultDelay: time.Millisecond}, Quarantine: contract.NewQuarantine(),
 	}
 }
--- a/internal/query/scatter/gather.go
+++ b/internal/query/scatter/gather.go
@@ -13,8 +13,8 @@
 
 // gather is the state of one job. It belongs to the goroutine that runs the
 // job; the goroutines of attempts report to it only through results.
-type gather[R ReplicaPolicy, H HedgePolicy, M, A any] struct {
-	engine  *Engine[R, H, M, A]
+type gather[R ReplicaPolicy, H HedgePolicy, S StartPolicy, M, A any] struct {
+	engine  *Engine[R, H, S, M, A]
 	job     *Job[M]
 	parts   []partState[A]
 	results chan attemptResult[A]
@@ -39,6 +39,13 @@
 	// may be restarted.
 	snapshotLost bool
 	mayHaveRun   bool
+	// postponed counts the parts whose first attempt waits for a server with room, and
+	// nextStartCheck is when they are looked at again at the latest.
+	postponed      int
+	nextStartCheck time.Time
+	// giveUpStartAt is when a request of which no part could be sent is given up; zero
+	// if it never waited.
+	giveUpStartAt time.Time
 	// suspect is set while the request is suspected to crash servers.
 	suspect bool
 	// candidates is a scratch buffer for the choice of a replica.
@@ -95,8 +102,8 @@
 	err    error
 }
 
-func newGather[R ReplicaPolicy, H HedgePolicy, M, A any](en *Engine[R, H, M, A], jb *Job[M]) *gather[R, H, M, A] {
-	ga := &gather[R, H, M, A]{engine: en, job: jb, parts: make([]partState[A], len(jb.Shards)), pending: len(jb.Shards)}
+func newGather[R ReplicaPolicy, H HedgePolicy, S StartPolicy, M, A any](en *Engine[R, H, S, M, A], jb *Job[M]) *gather[R, H, S, M, A] {
+	ga := &gather[R, H, S, M, A]{engine: en, job: jb, parts: make([]partState[A], len(jb.Shards)), pending: len(jb.Shards)}
 	ga.needed = NeededParts(jb.Settings.MinCoverage, len(jb.Shards))
 	maxResults := 0
 	for i := range jb.Shards {
@@ -119,7 +126,7 @@
 }
 
 // maxSends returns the maximum number of attempts at one shard.
-func (ga *gather[R, H, M, A]) maxSends(sh *Shard) int {
+func (ga *gather[R, H, S, M, A]) maxSends(sh *Shard) int {
 	rounds := 1
 	if ga.job.Settings.RetrySameServer {
 		rounds = 2
@@ -128,7 +135,7 @@
 }
 
 // run sends all parts and waits until the job is finished.
-func (ga *gather[R, H, M, A]) run(ctx context.Context) {
+func (ga *gather[R, H, S, M, A]) run(ctx context.Context) {
 	ctx, cancel := context.WithDeadline(ctx, ga.job.Deadline)
 	defer cancel()
 	now := time.Now()
@@ -137,11 +144,7 @@
 		return
 	}
 	now = time.Now()
-	for i := range ga.parts {
-		if !ga.parts[i].done && len(ga.parts[i].openAttempts) == 0 {
-			ga.startPart(ctx, now, i)
-		}
-	}
+	ga.startParts(ctx, now)
 	ga.wait(ctx, func() bool { return ga.pending == 0 || ga.canStopWaiting(time.Now()) })
 	ga.giveUpPending()
 }
@@ -149,7 +152,7 @@
 // canStopWaiting reports whether waiting longer is useless: the minimum
 // coverage can't be reached any more, or it is reached and PartialAfter has
 // passed.
-func (ga *gather[R, H, M, A]) canStopWaiting(now time.Time) bool {
+func (ga *gather[R, H, S, M, A]) canStopWaiting(now time.Time) bool {
 	if ga.job.PartialAfter.IsZero() {
 		return false
 	}
@@ -161,8 +164,11 @@
 
 // nextWakeTime returns the time of the next timer event for wait, and false if
 // there is none.
-func (ga *gather[R, H, M, A]) nextWakeTime(now time.Time) (time.Time, bool) {
+func (ga *gather[R, H, S, M, A]) nextWakeTime(now time.Time) (time.Time, bool) {
 	next, found := ga.nextHedgeTime()
+	if ga.postponed > 0 && (!found || ga.nextStartCheck.Before(next)) {
+		next, found = ga.nextStartCheck, true
+	}
 	for _, at := range []time.Time{ga.canaryUntil, ga.job.PartialAfter} {
 		if at.After(now) && (!found || at.Before(next)) {
 			next, found = at, true
@@ -173,7 +179,7 @@
 
 // wait processes results and sends hedges until done returns true, the snapshot
 // is lost or the context ends.
-func (ga *gather[R, H, M, A]) wait(ctx context.Context, done func() bool) {
+func (ga *gather[R, H, S, M, A]) wait(ctx context.Context, done func() bool) {
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	for !done() && !ga.snapshotLost {
@@ -185,8 +191,10 @@
 		case rs := <-ga.results:
 			ga.handleResult(ctx, time.Now(), rs)
 			ga.drainResults(ctx)
+			ga.startPostponed(ctx, time.Now())
 		case <-timer.C:
 			ga.sendDueHedges(ctx, time.Now())
+			ga.startPostponed(ctx, time.Now())
 		case <-ctx.Done():
 			ga.giveUpPending()
 			return
@@ -199,7 +207,7 @@
 
 // drainResults processes the results that are already available, so that the
 // time of the next hedge is computed once for all of them.
-func (ga *gather[R, H, M, A]) drainResults(ctx context.Context) {
+func (ga *gather[R, H, S, M, A]) drainResults(ctx context.Context) {
 	for {
 		select {
 		case rs := <-ga.results:
@@ -210,27 +218,10 @@
 	}
 }
 
-// startPart sends the first attempt of a part.
-func (ga *gather[R, H, M, A]) startPart(ctx context.Context, now time.Time, index int) {
-	pt := &ga.parts[index]
-	pt.startedAt = now
-	pt.hedgeAt = now.Add(ga.hedgeDelay)
-	sv := ga.chooseReplica(now, pt, "")
-	if sv == nil {
-		ga.giveUp(index, contract.CauseNoReplica)
-		return
-	}
-	if ga.recent.Count > 0 && sv.State.IsProbe(now, ga.recent.P50+probeHedgeMargin) {
-		pt.hedgeAt = now.Add(min(ga.hedgeDelay, ga.recent.P50+probeHedgeMargin))
-	}
-	ga.primaries++
-	ga.sendAttempt(ctx, now, index, sv, false)
-}
-
 // chooseReplica returns a replica that was not tried yet, or else one that may
 // get another attempt. It returns nil if none is left or MaxAttempts is
 // reached.
-func (ga *gather[R, H, M, A]) chooseReplica(now time.Time, pt *partState[A], avoid string) *machine.Server {
+func (ga *gather[R, H, S, M, A]) chooseReplica(now time.Time, pt *partState[A], avoid string) *machine.Server {
 	if limit := ga.job.Settings.MaxAttempts; limit > 0 && pt.possibleRuns >= limit {
 		return nil
 	}
@@ -243,19 +234,23 @@
 
 // chooseFrom applies the replica policy to the servers that are not in except,
 // accept work and may have the data.
-func (ga *gather[R, H, M, A]) chooseFrom(now time.Time, servers, except []*machine.Server, avoid string) *machine.Server {
+func (ga *gather[R, H, S, M, A]) chooseFrom(now time.Time, servers, except []*machine.Server, avoid string) *machine.Server {
 	ga.candidates = ga.candidates[:0]
 	for _, sv := range servers {
-		if slices.Contains(except, sv) || !sv.AcceptsWork(now) || ga.job.MayHaveData != nil && !ga.job.MayHaveData(now, sv) {
-			continue
+		if !slices.Contains(except, sv) && ga.mayChoose(now, sv) {
+			ga.candidates = append(ga.candidates, sv)
 		}
-		ga.candidates = append(ga.candidates, sv)
 	}
 	return ga.engine.Replicas.Choose(now, ga.engine.Zone, ga.candidates, avoid)
 }
 
+// mayChoose reports whether a server accepts work and may have the data.
+func (ga *gather[R, H, S, M, A]) mayChoose(now time.Time, sv *machine.Server) bool {
+	return sv.AcceptsWork(now) && (ga.job.MayHaveData == nil || ga.job.MayHaveData(now, sv))
+}
+
 // sendAttempt starts an attempt at a part in its own goroutine.
-func (ga *gather[R, H, M, A]) sendAttempt(ctx context.Context, now time.Time, index int, sv *machine.Server, hedge bool) {
+func (ga *gather[R, H, S, M, A]) sendAttempt(ctx context.Context, now time.Time, index int, sv *machine.Server, hedge bool) {
 	pt := &ga.parts[index]
 	ga.attempts++
 	ctx, cancel := context.WithCancel(ctx)
@@ -271,7 +266,7 @@
 
 // runAttempt sends the message and reports the result. It runs in the attempt's
 // own goroutine.
-func (ga *gather[R, H, M, A]) runAttempt(ctx context.Context, sentAt time.Time, index int, number int32, sv *machine.Server, message M) {
+func (ga *gather[R, H, S, M, A]) runAttempt(ctx context.Context, sentAt time.Time, index int, number int32, sv *machine.Server, message M) {
 	answer, err := ga.engine.Sender.Send(ctx, sv, message)
 	sv.State.InFlight.Add(-1)
 	now := time.Now()
@@ -281,7 +276,7 @@
 
 // recordOutcome updates the state of the server, the route's latencies and the
 // quarantine after an attempt.
-func (ga *gather[R, H, M, A]) recordOutcome(now time.Time, sv *machine.Server, took time.Duration, err error) {
+func (ga *gather[R, H, S, M, A]) recordOutcome(now time.Time, sv *machine.Server, took time.Duration, err error) {
 	serviceTime := took - 2*ga.engine.Zone.Delay(sv.Zone)
 	if err == nil {
 		sv.State.RecordAnswer(now, serviceTime, int64(sv.ConnectionLimit))
@@ -304,7 +299,7 @@
 }
 
 // handleResult processes the result of one attempt.
-func (ga *gather[R, H, M, A]) handleResult(ctx context.Context, now time.Time, rs attemptResult[A]) {
+func (ga *gather[R, H, S, M, A]) handleResult(ctx context.Context, now time.Time, rs attemptResult[A]) {
 	pt := &ga.parts[rs.part]
 	index := slices.IndexFunc(pt.openAttempts, func(ap attempt) bool { return ap.number == rs.number })
 	ended := pt.openAttempts[index]
@@ -339,7 +334,7 @@
 
 // mayRetrySameServer reports whether the server of an attempt that failed with
 // cause may get another one.
-func (ga *gather[R, H, M, A]) mayRetrySameServer(pt *partState[A], cause contract.Cause) bool {
+func (ga *gather[R, H, S, M, A]) mayRetrySameServer(pt *partState[A], cause contract.Cause) bool {
 	limit := ga.maxSends(pt.shard)
 	switch cause {
 	case contract.CauseLinkSilent:
@@ -356,7 +351,7 @@
 
 // acceptAnswer stores the first valid answer of a part and cancels its other
 // attempts.
-func (ga *gather[R, H, M, A]) acceptAnswer(now time.Time, rs attemptResult[A], winner attempt) {
+func (ga *gather[R, H, S, M, A]) acceptAnswer(now time.Time, rs attemptResult[A], winner attempt) {
 	pt := &ga.parts[rs.part]
 	pt.Answer, pt.Answered, pt.Failed = rs.answer, true, false
 	pt.Record.NoRetryReason = ""
@@ -373,7 +368,7 @@
 
 // adjustHedgeTimes moves the hedges of the remaining parts forward, once enough
 // other parts are answered to tell stragglers.
-func (ga *gather[R, H, M, A]) adjustHedgeTimes(now time.Time, elapsed time.Duration) {
+func (ga *gather[R, H, S, M, A]) adjustHedgeTimes(now time.Time, elapsed time.Duration) {
 	if ga.hedgesAdjusted {
 		return
 	}
@@ -391,13 +386,13 @@
 }
 
 // giveUp ends a part without an answer.
-func (ga *gather[R, H, M, A]) giveUp(index int, cause contract.Cause) {
+func (ga *gather[R, H, S, M, A]) giveUp(index int, cause contract.Cause) {
 	ga.parts[index].Record.Cause = cause
 	ga.finishPart(&ga.parts[index])
 }
 
 // finishPart counts a part that is answered or given up.
-func (ga *gather[R, H, M, A]) finishPart(pt *partState[A]) {
+func (ga *gather[R, H, S, M, A]) finishPart(pt *partState[A]) {
 	pt.done = true
 	ga.pending--
 	if ga.job.OnPartDone != nil {
@@ -406,7 +401,7 @@
 }
 
 // giveUpPending cancels the attempts in flight and gives up all pending parts.
-func (ga *gather[R, H, M, A]) giveUpPending() {
+func (ga *gather[R, H, S, M, A]) giveUpPending() {
 	for i := range ga.parts {
 		pt := &ga.parts[i]
 		if pt.done {
@@ -419,6 +414,11 @@
 		if len(pt.openAttempts) > 0 && !ga.provedNotRun(len(pt.openAttempts)) {
 			ga.mayHaveRun = true
 		}
+		if ga.postponed > 0 && pt.isUnsent() {
+			pt.Record.NoRetryReason = contract.NoRetryNoRoom
+			ga.giveUp(i, contract.CauseNoRoom)
+			continue
+		}
 		ga.giveUp(i, contract.CauseDeadline)
 	}
 }
@@ -426,7 +426,7 @@
 // provedNotRun waits for the end of the canceled attempts of a request that is
 // not idempotent, for at most ReplyMargin, and reports whether it is proved
 // that none of them ran.
-func (ga *gather[R, H, M, A]) provedNotRun(open int) bool {
+func (ga *gather[R, H, S, M, A]) provedNotRun(open int) bool {
 	if ga.job.Settings.Idempotent {
 		return false
 	}
@@ -449,7 +449,7 @@
 }
 
 // result returns the result of the job. It is called once, after run.
-func (ga *gather[R, H, M, A]) result() Result[A] {
+func (ga *gather[R, H, S, M, A]) result() Result[A] {
 	rs := Result[A]{
 		Parts:        make([]PartResult[A], len(ga.parts)),
 		SnapshotLost: ga.snapshotLost,
--- a/internal/query/scatter/retry.go
+++ b/internal/query/scatter/retry.go
@@ -9,7 +9,7 @@
 
 // retryPart sends a part again after a failed attempt, if that is safe, useful
 // and within the budget. Otherwise it gives the part up and records why.
-func (ga *gather[R, H, M, A]) retryPart(ctx context.Context, now time.Time, index int, cause contract.Cause, notRun bool) {
+func (ga *gather[R, H, S, M, A]) retryPart(ctx context.Context, now time.Time, index int, cause contract.Cause, notRun bool) {
 	pt := &ga.parts[index]
 	if !ga.job.Settings.Idempotent && !notRun {
 		pt.Record.NoRetryReason = contract.NoRetryMayHaveRun
@@ -41,19 +41,19 @@
 
 // isRestartUseful reports whether the job may be restarted on another snapshot
 // and has more time left than the 99th percentile of a part's latency.
-func (ga *gather[R, H, M, A]) isRestartUseful(now time.Time) bool {
+func (ga *gather[R, H, S, M, A]) isRestartUseful(now time.Time) bool {
 	p99 := ga.job.Latency.Recent().P99
 	return ga.job.MayRestart && ga.job.Settings.Idempotent && ga.job.Deadline.Sub(now) > p99
 }
 
 // isRequired reports whether each pending part is required: the answer falls
 // below the minimum coverage if one more is given up.
-func (ga *gather[R, H, M, A]) isRequired() bool {
+func (ga *gather[R, H, S, M, A]) isRequired() bool {
 	return ga.answered+ga.pending <= ga.needed
 }
 
 // nextHedgeTime returns the earliest time at which a part is due for a hedge.
-func (ga *gather[R, H, M, A]) nextHedgeTime() (time.Time, bool) {
+func (ga *gather[R, H, S, M, A]) nextHedgeTime() (time.Time, bool) {
 	if !ga.hedgingEnabled || ga.suspect {
 		return time.Time{}, false
 	}
@@ -79,7 +79,7 @@
 
 // sendDueHedges sends a second attempt for each part that is due, as far as the
 // budget allows.
-func (ga *gather[R, H, M, A]) sendDueHedges(ctx context.Context, now time.Time) {
+func (ga *gather[R, H, S, M, A]) sendDueHedges(ctx context.Context, now time.Time) {
 	for i := range ga.parts {
 		pt := &ga.parts[i]
 		if !pt.mayHedge() || now.Before(pt.hedgeAt) {
--- a/internal/query/scatter/scatter.go
+++ b/internal/query/scatter/scatter.go
@@ -137,8 +137,8 @@
 	}
 }
 
-func (sr *SnapshotRunner[R, H]) newEngine() *Engine[R, H, PartRequest, []byte] {
-	return &Engine[R, H, PartRequest, []byte]{
+func (sr *SnapshotRunner[R, H]) newEngine() *Engine[R, H, StartAtOnce, PartRequest, []byte] {
+	return &Engine[R, H, StartAtOnce, PartRequest, []byte]{
 		Replicas: sr.Replicas, Hedges: sr.Hedges, Sender: sr.Sender, Zone: sr.Zone,
 		Quarantine: sr.Quarantine, EntryVMRank: sr.EntryVMRank, OnServerLost: sr.OnServerLost,
 	}
--- a/internal/world/contract/outcome.go
+++ b/internal/world/contract/outcome.go
@@ -48,6 +48,7 @@
 	CodeClaimLost        Code = "claim_answer_lost"
 	CodeNoServer         Code = "no_server"
 	CodeServerRefused    Code = "server_refused"
+	CodeOverloaded       Code = "overloaded"
 	CodeNoAnswer         Code = "no_answer"
 	CodeLowCoverage      Code = "coverage_below_minimum"
 	CodeAlreadyRun       Code = "already_run"
@@ -102,6 +103,9 @@
 	CauseDeadline     Cause = "deadline"
 	CauseCanceled     Cause = "canceled"
 	CauseQuarantined  Cause = "quarantined"
+	// CauseNoRoom means that the request was not started, because too few shards had a
+	// server with room.
+	CauseNoRoom Cause = "no_room"
 	// CauseNoMemory means that the answer does not fit beside those of the other
 	// requests in flight.
 	CauseNoMemory Cause = "no_memory"
--- a/internal/world/contract/receipt.go
+++ b/internal/world/contract/receipt.go
@@ -51,6 +51,8 @@
 	NoRetryNoReplica    NoRetryReason = "no_replica_left"
 	NoRetryBudget       NoRetryReason = "budget_spent"
 	NoRetryReplicasFull NoRetryReason = "replicas_full"
+	// NoRetryNoRoom means that the part was never sent, since all servers had queues.
+	NoRetryNoRoom NoRetryReason = "no_room"
 )
 
 // SettingRef identifies the revision of the route's setting that applied to a
--- a/internal/world/machine/server.go
+++ b/internal/world/machine/server.go
@@ -60,7 +60,7 @@
 // except for the record and for what the server itself said in an answer, which
 // hold until it restarts.
 func (sv *Server) IsLeaving(now time.Time) bool {
-	if sv.Leaving || sv.State.Departing.Load() {
+	if sv.Leaving || sv.State.Departing.Load() || sv.State.Withdrawn.Load() {
 		return true
 	}
 	at := sv.State.LeavingAt.Load()
@@ -96,6 +96,36 @@
 	return st.InFlight.Load() < limit
 }
 
+// maxQueueReportAge is the age up to which a report counts for the queue of a server:
+// after that, most of the requests that it counted have ended.
+const maxQueueReportAge = 200 * time.Millisecond
+
+// ExpectedWait returns how long one more part is expected to wait for a free slot, from
+// the server's last report and this process's own parts.
+func (sv *Server) ExpectedWait(now time.Time) time.Duration {
+	st := sv.State
+	load := st.InFlight.Load()
+	if now.UnixNano()-st.ReportedAt.Load() < int64(maxQueueReportAge) {
+		load = max(load, st.ReportedLoad.Load())
+	}
+	slots, queued := int64(sv.Slots), max(load+1-int64(sv.Slots), 0)
+	// The baseline is that of a server without a queue, but not of one that became
+	// slow; of the recent latency, a part was spent in the queue.
+	byBaseline := st.BaselineNanos.Load() * queued / slots
+	byRecent := int64(sv.RecentLatency(now)) * queued / (slots + queued)
+	return time.Duration(max(byBaseline, byRecent))
+}
+
+// RecentLatency returns the smoothed latency of the server, 0 if it is unknown. It
+// decays while the server is unused, so that a server that was slow is tried again.
+func (sv *Server) RecentLatency(now time.Time) time.Duration {
+	latency := time.Duration(sv.State.LatencyNanos.Load())
+	if idle := time.Duration(now.UnixNano() - sv.State.LatencyAt.Load()); idle > latencyHalfLife {
+		latency >>= min(idle/latencyHalfLife, maxHalvings)
+	}
+	return latency
+}
+
 // ExpectedLatency returns the expected latency of one more part at the server,
 // from its smoothed latency, the load in relation to its slots, and its
 // failures. An old latency decays, so that a server that was slow is probed
--- a/internal/world/machine/state.go
+++ b/internal/world/machine/state.go
@@ -83,6 +83,10 @@
 	// or to another entry VM, that it is leaving. It is never reset: a restarted
 	// server has a new state.
 	Departing atomic.Bool
+	// Withdrawn is set while the platform's record marks the server as leaving, or the
+	// server is removed since its record disappeared. Requests that began with an older
+	// view see it here.
+	Withdrawn atomic.Bool
 	// BackOffUntil is until when the server asked this process for no requests, in
 	// Unix nanoseconds. It never decreases.
 	BackOffUntil atomic.Int64
@@ -301,6 +305,13 @@
 	st.LatencyAt.Store(now.UnixNano())
 }
 
+// IsUnresponsive reports whether parts were canceled for longer than a short pause of
+// the server takes, and none was answered meanwhile.
+func (st *ServerState) IsUnresponsive(now time.Time) bool {
+	since := st.CanceledSince.Load()
+	return since != 0 && now.UnixNano()-since > int64(maxPause)
+}
+
 // IsProbe reports whether a part sent now would be a probe: the server was slower
 // than threshold when it was last used, more than latencyHalfLife ago.
 func (st *ServerState) IsProbe(now time.Time, threshold time.Duration) bool {
--- a/internal/world/view/fleet.go
+++ b/internal/world/view/fleet.go
@@ -150,6 +150,11 @@
 	if sv.State == nil {
 		sv.State = &machine.ServerState{}
 	}
+	if old != nil && old.State != sv.State {
+		// The process that requests with an older fleet know has ended.
+		old.State.Withdrawn.Store(true)
+	}
+	sv.State.Withdrawn.Store(sv.Leaving)
 	if dr.Table != nil {
 		sv = *withLimit(&sv, dr.Table)
 	}
@@ -166,6 +171,7 @@
 	}
 	if !removeAt.After(now) || sv.Leaving {
 		dr.copyMaps()
+		sv.State.Withdrawn.Store(true)
 		delete(dr.Servers, name)
 		delete(dr.expiring, name)
 		dr.setFormer(now, name, formerServer{StartedAt: sv.StartedAt, Leaving: sv.Leaving, State: sv.State, RemovedAt: now})
--- a/internal/world/view/fleet_test.go
+++ b/internal/world/view/fleet_test.go
@@ -254,3 +254,43 @@
 	assert.Assert(t, !fl.Servers["one"].AcceptsWork(start.Add(time.Minute-1)))
 	assert.Assert(t, fl.Servers["one"].AcceptsWork(start.Add(time.Minute)))
 }
+
+// TestRunningRequestsSeeThatServersLeave has requests that began with an older fleet, and
+// wait or send again after the news that a server leaves, or is gone. They must not use
+// it; one whose record comes back must be used again.
+func TestRunningRequestsSeeThatServersLeave(t *testing.T) {
+	draining := planServer
+	draining.Leaving = true
+	restarted := draining
+	restarted.Leaving, restarted.StartedAt = false, start.Add(time.Minute)
+	tests := []struct {
+		name    string
+		objects []Object
+		// later is the time after which expired servers are removed; 0 for never.
+		later time.Duration
+		want  bool
+	}{
+		{"nothing changes", nil, 0, true},
+		{"the record says so", []Object{recordObject("a", 2, draining)}, 0, false},
+		{"the record disappeared a moment ago", []Object{deletedObject("a", 2)}, 0, true},
+		{"the record disappeared", []Object{deletedObject("a", 2)}, removalDelay, false},
+		{"the record came back", []Object{deletedObject("a", 2), recordObject("a", 3, planServer)}, removalDelay, true},
+		{"the server was restarted", []Object{recordObject("a", 2, draining), recordObject("a", 3, restarted)}, 0, false},
+	}
+	for _, tt := range tests {
+		old := mustApply(t, Fleet{}, start, recordObject("a", 1, planServer))
+		next := old
+		for _, ob := range tt.objects {
+			next = mustApply(t, next, start, ob)
+		}
+		at := start.Add(tt.later)
+		next.RemoveExpired(at)
+		assert.Equal(t, old.Servers["a"].AcceptsWork(at), tt.want, tt.name)
+	}
+	// A server that lapsed and was removed comes back without a restart.
+	old := mustApply(t, Fleet{}, start, recordObject("a", 1, planServer))
+	gone := mustApply(t, old, start, deletedObject("a", 2)).RemoveExpired(start.Add(removalDelay))
+	assert.Equal(t, len(gone.Servers), 0)
+	back := mustApply(t, gone, start.Add(3*time.Second), recordObject("a", 3, planServer))
+	assert.Assert(t, back.Servers["a"].AcceptsWork(start.Add(3*time.Second)))
+}
