--- a/internal/query/scatter/start_test.go
+++ b/internal/query/scatter/start_test.go
@@ -1,6 +1,7 @@
 package scatter
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -120,3 +121,23 @@
 	}
 	assert.Equal(t, sent, 6, "three servers with a limit of two")
 }
+
+// BenchmarkStart measures the decision which parts of a request may start.
+func BenchmarkStart(b *testing.B) {
+	for _, shards := range []int{10, 42, 150, 750} {
+		for _, full := range []int{0, shards / 10} {
+			b.Run(fmt.Sprintf("shards=%d/full=%d", shards, full), func(b *testing.B) {
+				now := time.Now()
+				jb := newJob(now, shards, newJobSettings(), &limitedBudget{})
+				jb.PartialAfter = now.Add(86 * time.Millisecond)
+				fillServers(jb, full)
+				en := &Engine[LeastExpectedLatency, GoalHedge, StartWithRoom, string, string]{Zone: zone.Zone{Name: "zone-0"}, Quarantine: contract.NewQuarantine()}
+				ga := newGather(en, jb)
+				for b.Loop() {
+					ga.countStartable(now)
+				}
+				b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(shards), "ns/shard")
+			})
+		}
+	}
+}
