--- a/internal/query/forward/forward.go
+++ b/internal/query/forward/forward.go
@@ -143,7 +143,7 @@
 	replyMargin = 15 * time.Millisecond
 	// processingMargin is reserved before a route's latency goal for reading the
 	// request and writing the answer, beside the round trip to the caller.
-	processingMargin = 8 * time.Millisecond
+	processingMargin = 12 * time.Millisecond
 	// defaultRoundTrip is assumed for callers whose distance is unknown.
 	defaultRoundTrip = 6 * time.Millisecond
 	// firstRoundTrips is the number of round trips that the caller has made before the
