One piece of code for descriptors and for the decay of latencies

The look into a caller's connection stood twice; ExpectedLatency repeated the decay of RecentLatency; the parts in use were counted again for each part that waits for room, so that a look for room cost parts squared. The tests of the start policy share the making of their engine; their assertions are unchanged.

--- a/internal/peer/callerhttp/listener.go
+++ b/internal/peer/callerhttp/listener.go
@@ -129,23 +129,12 @@
 }
 
 func roundTripOf(raw net.Conn) time.Duration {
-	sc, ok := raw.(syscall.Conn)
-	if !ok {
-		return 0
-	}
-	rc, err := sc.SyscallConn()
-	if err != nil {
-		return 0
-	}
 	roundTrip := time.Duration(0)
-	err = rc.Control(func(descriptor uintptr) {
-		if info, err := unix.GetsockoptTCPInfo(int(descriptor), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+	withDescriptor(raw, func(descriptor int) {
+		if info, err := unix.GetsockoptTCPInfo(descriptor, unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
 			roundTrip = time.Duration(info.Rtt) * time.Microsecond
 		}
 	})
-	if err != nil {
-		return 0
-	}
 	return roundTrip
 }
 
@@ -178,19 +167,26 @@
 // hasUnread reports without blocking whether bytes have arrived on a connection
 // that were not read.
 func hasUnread(raw net.Conn) bool {
+	count := 0
+	withDescriptor(raw, func(descriptor int) {
+		var buffer [1]byte
+		count, _, _ = syscall.Recvfrom(descriptor, buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return count > 0
+}
+
+// withDescriptor calls do with the file descriptor of a connection. It does nothing if
+// the connection has none or is closed.
+func withDescriptor(raw net.Conn, do func(descriptor int)) {
 	sc, ok := raw.(syscall.Conn)
 	if !ok {
-		return false
+		return
 	}
 	rc, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return
 	}
-	count := 0
-	// Read would wait for the goroutine that reads the next request.
-	err = rc.Control(func(descriptor uintptr) {
-		var buffer [1]byte
-		count, _, _ = syscall.Recvfrom(int(descriptor), buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	})
-	return err == nil && count > 0
+	// Read would wait for the goroutine that reads the next request. An error means that
+	// the connection is closed, and do was not called.
+	_ = rc.Control(func(descriptor uintptr) { do(int(descriptor)) })
 }
--- a/internal/query/forward/available.go
+++ b/internal/query/forward/available.go
@@ -38,8 +38,9 @@
 	return rf
 }
 
-// notTaken returns the refusal of a job that no server took. It tells the caller
-// to wait for servers that asked for no requests meanwhile.
+// notTaken returns the refusal of a job that no server took, or that was not started
+// for lack of room. It tells the caller to wait for servers that asked for no requests
+// meanwhile.
 func notTaken(jb *scatter.Job[Attempt], rs *scatter.Result[Answer], minCoverage float64, reason string) *contract.Refusal {
 	if rs.Parts[0].Record.Cause == contract.CauseNoRoom {
 		return contract.NewRefusal(contract.NotRun, contract.CodeOverloaded, "too few shards have a server with room")
--- a/internal/query/scatter/start.go
+++ b/internal/query/scatter/start.go
@@ -71,8 +71,8 @@
 		ga.postponeAll(now)
 		return
 	}
-	ga.startWithRoom(ctx, now, func() bool { return false })
-	ga.startWithRoom(ctx, now, func() bool { return ga.countInUse() < ga.needed })
+	ga.startWithRoom(ctx, now, 0)
+	ga.startWithRoom(ctx, now, ga.needed-ga.countInUse())
 	ga.postponed = 0
 	for i := range ga.parts {
 		pt := &ga.parts[i]
@@ -88,14 +88,16 @@
 	ga.nextStartCheck = now.Add(startCheckInterval)
 }
 
-// startWithRoom sends the first attempts for which a server has room.
-func (ga *gather[R, H, S, M, A]) startWithRoom(ctx context.Context, now time.Time, isRequired func() bool) {
+// startWithRoom sends the first attempts for which a server has room. The first ones, up
+// to the given number, are required.
+func (ga *gather[R, H, S, M, A]) startWithRoom(ctx context.Context, now time.Time, required int) {
 	for i := range ga.parts {
 		if !ga.parts[i].isUnsent() {
 			continue
 		}
-		if sv := ga.chooseForStart(now, &ga.parts[i], isRequired()); sv != nil {
+		if sv := ga.chooseForStart(now, &ga.parts[i], required > 0); sv != nil {
 			ga.startPart(ctx, now, i, sv)
+			required--
 		}
 	}
 }
--- a/internal/query/scatter/start_test.go
+++ b/internal/query/scatter/start_test.go
@@ -13,6 +13,13 @@
 	"daisystage.example/daisystage/internal/world/zone"
 )
 
+// newRoomEngine returns an engine that starts parts with room.
+func newRoomEngine(fs *fakeServers) *Engine[LeastExpectedLatency, GoalHedge, StartWithRoom, string, string] {
+	return &Engine[LeastExpectedLatency, GoalHedge, StartWithRoom, string, string]{
+		Sender: fs, Zone: zone.Zone{Name: "zone-0"}, Quarantine: contract.NewQuarantine(),
+	}
+}
+
 // fillServers puts parts of other requests on all servers of the first shards, and
 // returns a function that ends them.
 func fillServers(jb *Job[string], shards int) func() {
@@ -56,9 +63,7 @@
 				fs := &fakeServers{sends: map[string][]string{}, respond: func(*machine.Server, string, int) (time.Duration, error) {
 					return 8 * time.Millisecond, nil
 				}}
-				en := &Engine[LeastExpectedLatency, GoalHedge, StartWithRoom, string, string]{
-					Sender: fs, Zone: zone.Zone{Name: "zone-0"}, Quarantine: contract.NewQuarantine(),
-				}
+				en := newRoomEngine(fs)
 				startedAt := time.Now()
 				jb := newJob(startedAt, 10, newJobSettings(), &limitedBudget{left: 0})
 				jb.PartialAfter = startedAt.Add(86 * time.Millisecond)
@@ -82,9 +87,7 @@
 		fs := &fakeServers{sends: map[string][]string{}, respond: func(*machine.Server, string, int) (time.Duration, error) {
 			return 8 * time.Millisecond, nil
 		}}
-		en := &Engine[LeastExpectedLatency, GoalHedge, StartWithRoom, string, string]{
-			Sender: fs, Zone: zone.Zone{Name: "zone-0"}, Quarantine: contract.NewQuarantine(),
-		}
+		en := newRoomEngine(fs)
 		startedAt := time.Now()
 		jb := newJob(startedAt, 10, newJobSettings(), &limitedBudget{left: 0})
 		jb.PartialAfter = startedAt.Add(86 * time.Millisecond)
@@ -107,7 +110,7 @@
 	now := time.Now()
 	jb := newJob(now, 1, newJobSettings(), &limitedBudget{})
 	jb.PartialAfter = now.Add(86 * time.Millisecond)
-	en := &Engine[LeastExpectedLatency, GoalHedge, StartWithRoom, string, string]{Zone: zone.Zone{Name: "zone-0"}, Quarantine: contract.NewQuarantine()}
+	en := newRoomEngine(nil)
 	ga := newGather(en, jb)
 	for _, sv := range jb.Shards[0].Replicas {
 		sv.State.RecordAnswer(now, 300*time.Millisecond, 25)
@@ -131,7 +134,7 @@
 				jb := newJob(now, shards, newJobSettings(), &limitedBudget{})
 				jb.PartialAfter = now.Add(86 * time.Millisecond)
 				fillServers(jb, full)
-				en := &Engine[LeastExpectedLatency, GoalHedge, StartWithRoom, string, string]{Zone: zone.Zone{Name: "zone-0"}, Quarantine: contract.NewQuarantine()}
+				en := newRoomEngine(nil)
 				ga := newGather(en, jb)
 				for b.Loop() {
 					ga.countStartable(now)
--- a/internal/world/machine/server.go
+++ b/internal/world/machine/server.go
@@ -143,8 +143,8 @@
 		latency = assumed
 	case idle > latencyHalfLife && inFlight > 0:
 		latency *= probePenalty
-	case idle > latencyHalfLife:
-		latency >>= min(idle/latencyHalfLife, maxHalvings)
+	default:
+		latency = sv.RecentLatency(now)
 	}
 	load := inFlight
 	if now.UnixNano()-st.ReportedAt.Load() < int64(maxReportAge) {
