--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins of the cases.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-go build -o target/review-standin ./review/standin
+go build -buildvcs=false -o target/review-standin ./review/standin
--- a/review/standin/case_half_close.go
+++ b/review/standin/case_half_close.go
@@ -14,10 +14,10 @@
 )
 
 const (
-	// leaveShare of the callers leave leaveAfter sending a request, half of the goal,
-	// for leavePeriod.
+	// leaveShare of the callers leave within leaveWithin of sending a request, half of
+	// the goal, for leavePeriod.
 	leaveShare  = 0.3
-	leaveAfter  = 150 * time.Millisecond
+	leaveWithin = 150 * time.Millisecond
 	leavePeriod = 8 * time.Second
 	leavingWork = 250 * time.Millisecond
 )
@@ -50,7 +50,7 @@
 		return false, err
 	}
 	until := time.Now().Add(leavePeriod)
-	var left, unsealed atomic.Int64
+	var left, unsealed, unrun atomic.Int64
 	var callers sync.WaitGroup
 	for _, vm := range pl.vms {
 		for range callersPerVM {
@@ -60,36 +60,41 @@
 					if leaves {
 						left.Add(1)
 					}
-					if !callOnce(pl, vm, path, leaves, rn) {
-						unsealed.Add(1)
+					id := newID()
+					if callOnce(pl, vm, path, id, leaves, rn) {
+						continue
+					}
+					unsealed.Add(1)
+					if rn.of(id) == 0 {
+						unrun.Add(1)
 					}
 				}
 			})
 		}
 	}
 	callers.Wait()
-	summary := fmt.Sprintf("%d callers left; %d got a success without a server's signature", left.Load(), unsealed.Load())
+	summary := fmt.Sprintf("%d callers left; %d got a success without a server's signature, %d of them for a request that no server ran",
+		left.Load(), unsealed.Load(), unrun.Load())
 	pl.record.add("%s", summary)
 	fmt.Println(summary)
 	return unsealed.Load() > 0, nil
 }
 
-// callOnce sends one request on a connection of its own. It returns false if the caller
+// callOnce sends one request with an id on a connection of its own. It returns false if the caller
 // got a success without a server's signature.
-func callOnce(pl *play, vm *entryVM, path string, leaves bool, rn *runs) bool {
+func callOnce(pl *play, vm *entryVM, path, id string, leaves bool, rn *runs) bool {
 	cl, err := connect(vm.listen.FrontendAddr)
 	if err != nil {
 		time.Sleep(100 * time.Millisecond)
 		return true
 	}
 	defer func() { _ = cl.Close() }()
-	id := newID()
 	pl.record.add("send %s to %s", id, vm.name)
 	if err := cl.send(http.MethodPost, path+id, id, 4*time.Second); err != nil {
 		return true
 	}
 	if leaves {
-		time.Sleep(leaveAfter)
+		time.Sleep(rand.N(leaveWithin))
 		pl.record.add("the caller of %s leaves", id)
 		_ = cl.Conn.(*net.TCPConn).CloseWrite()
 	}
--- a/review/standin/case_second_copy.go
+++ b/review/standin/case_second_copy.go
@@ -15,7 +15,7 @@
 	copyPeriod = 5 * time.Second
 	copyShare  = 0.04
 	copyDelay  = 5 * time.Millisecond
-	savePlans  = 80 * time.Second
+	savePlans  = 95 * time.Second
 )
 
 // playSecondCopy has callers save plans, which must not run twice, at servers that are
