--- a/review/standin/entry.go
+++ b/review/standin/entry.go
@@ -44,22 +44,22 @@
 	folder  string
 	trouble bool
 	store   *store
-	vms     []*entryVM
-	// lock guards servers and ended.
+	// lock guards the fields below. After the end nothing is started any more.
 	lock    sync.Mutex
+	vms     []*entryVM
 	servers []*server
 	ended   bool
 }
 
 // end ends all that the case started.
 func (pl *play) end() {
+	pl.lock.Lock()
+	defer pl.lock.Unlock()
+	pl.ended = true
 	for _, vm := range pl.vms {
 		_ = vm.command.Process.Kill()
 		<-vm.ended
 	}
-	pl.lock.Lock()
-	defer pl.lock.Unlock()
-	pl.ended = true
 	for _, sv := range pl.servers {
 		sv.close()
 	}
@@ -143,7 +143,6 @@
 		if err := pl.start(vm); err != nil {
 			return err
 		}
-		pl.vms = append(pl.vms, vm)
 	}
 	for _, vm := range pl.vms {
 		if err := vm.awaitReady(); err != nil {
@@ -154,8 +153,15 @@
 	return nil
 }
 
+var errEnded = errors.New("the case has ended")
+
 // start starts the process of an entry VM.
 func (pl *play) start(vm *entryVM) error {
+	pl.lock.Lock()
+	defer pl.lock.Unlock()
+	if pl.ended {
+		return errEnded
+	}
 	log, err := os.Create(filepath.Join(pl.folder, vm.name+".log"))
 	if err != nil {
 		return fmt.Errorf("make a log: %w", err)
@@ -173,6 +179,7 @@
 		_ = command.Wait()
 		close(ended)
 	}()
+	pl.vms = append(pl.vms, vm)
 	pl.record.add("start %s", vm.name)
 	return nil
 }
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -13,7 +13,9 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -70,7 +72,10 @@
 	return exitHeld
 }
 
-var errTooLong = errors.New("the case took too long")
+var (
+	errTooLong = errors.New("the case took too long")
+	errStopped = errors.New("the case was stopped")
+)
 
 func playCase(name, folder string) (bool, error) {
 	rc, err := newRecord(filepath.Join(folder, "record.txt"))
@@ -95,7 +100,11 @@
 		broken, err := cases[name](pl)
 		done <- outcome{broken, err}
 	}()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	select {
+	case <-signals:
+		return false, errStopped
 	case oc := <-done:
 		rc.add("broken %t, error %v", oc.broken, oc.err)
 		return oc.broken, oc.err
