--- a/review/standin/caller.go
+++ b/review/standin/caller.go
@@ -98,3 +98,30 @@
 	}
 	return places, nil
 }
+
+// search sends one search on a connection of its own and returns the status of the
+// answer, 0 if there was none.
+func search(pl *play, vm *entryVM, path, query string) int {
+	return searchFor(pl, vm, path, query, 4*time.Second).status
+}
+
+// searchFor is search for a caller that waits up to a deadline.
+func searchFor(pl *play, vm *entryVM, path, query string, deadline time.Duration) answer {
+	cl, err := connect(vm.listen.FrontendAddr)
+	if err != nil {
+		return answer{}
+	}
+	defer func() { _ = cl.Close() }()
+	id := newID()
+	pl.record.add("send %s, %s?q=%s, to %s", id, path, query, vm.name)
+	if err := cl.send(http.MethodGet, path+"?q="+query, id, deadline); err != nil {
+		return answer{}
+	}
+	an, err := cl.receive()
+	if err != nil {
+		pl.record.add("answer to %s: %v", id, err)
+		return answer{}
+	}
+	pl.record.add("answer to %s: %d", id, an.status)
+	return an
+}
--- a/review/standin/case_crash.go
+++ b/review/standin/case_crash.go
@@ -111,25 +111,3 @@
 	fmt.Println(summary)
 	return len(crashes.retries) > allowedRetries, nil
 }
-
-// search sends one search on a connection of its own and returns the status of the
-// answer, 0 if there was none.
-func search(pl *play, vm *entryVM, path, query string) int {
-	cl, err := connect(vm.listen.FrontendAddr)
-	if err != nil {
-		return 0
-	}
-	defer func() { _ = cl.Close() }()
-	id := newID()
-	pl.record.add("send %s, query %s, to %s", id, query, vm.name)
-	if err := cl.send(http.MethodGet, path+"?q="+query, id, 4*time.Second); err != nil {
-		return 0
-	}
-	an, err := cl.receive()
-	if err != nil {
-		pl.record.add("answer to %s: %v", id, err)
-		return 0
-	}
-	pl.record.add("answer to %s: %d", id, an.status)
-	return an.status
-}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -44,6 +44,7 @@
 	"stop":        playStop,
 	"half-close":  playHalfClose,
 	"crash":       playCrash,
+	"blocked":     playBlocked,
 }
 
 func main() {
