Refuse requests that a stop can't end, answer those it gives up

Cause: a stopping process took every request whose connection was open, and did not compare the request's limit with its own end. What was left at the end lost its connection without an answer.

Ruled out: other margins alone.

Conclusion: a request is taken only if the process outlives it, apart from the early part of a stop, and then it is answered.

--- a/internal/node/forwardvm/process.go
+++ b/internal/node/forwardvm/process.go
@@ -67,10 +67,9 @@
 	// kept.
 	removalMargin   = 700 * time.Millisecond
 	maxRemovalDelay = 2500 * time.Millisecond
-	// A stopping process accepts callers until acceptMargin before the end of
-	// its stop time, and cuts the requests still running finishMargin before it.
+	// acceptMargin is the time before the end of a stop at which the process closes
+	// its listener for callers.
 	acceptMargin = 2500 * time.Millisecond
-	finishMargin = 600 * time.Millisecond
 	// idleTimeout is the time after which unused caller connections are closed.
 	idleTimeout = 2 * time.Minute
 	// headerTimeout bounds the time to read the header of one request.
@@ -380,16 +379,18 @@
 
 // Stop ends the process gracefully within StopWithin of now. The process is no
 // longer selected or ready, but still serves callers that hold an older answer
-// of the directory. It then closes its listener and ends after the last
-// request. Requests that outlast the time are cut.
+// of the directory, as far as its stop plan allows. It then closes its listener and
+// ends after the last request. Requests that outlast the plan are given up.
 func (ps *Process) Stop(now time.Time) {
-	end := now.Add(ps.settings.Load().StopWithin)
+	within := ps.settings.Load().StopWithin
+	plan := contract.NewStopPlan(now, within)
+	ps.Service.Stopping.Store(&plan)
 	events.Leaving.Log(ps.Log)
 	ps.leaving.Store(true)
 	ps.Cluster.Leave()
-	time.Sleep(time.Until(end.Add(-acceptMargin)))
+	time.Sleep(time.Until(now.Add(within - acceptMargin)))
 	events.Draining.Log(ps.Log)
-	ctx, cancel := context.WithDeadline(context.Background(), end.Add(-finishMargin))
+	ctx, cancel := context.WithDeadline(context.Background(), plan.GiveUpAt)
 	defer cancel()
 	if err := ps.callerListener.ShutDown(ctx); err != nil {
 		events.StopCutShort.Log(ps.Log, zap.Error(err))
--- a/internal/peer/callerhttp/listener.go
+++ b/internal/peer/callerhttp/listener.go
@@ -27,8 +27,14 @@
 	// stopCheckInterval is the time between two looks at the open connections during
 	// a stop.
 	stopCheckInterval = 10 * time.Millisecond
+	// replyGrace is left to the requests that a stop gave up, to answer their callers.
+	replyGrace = 200 * time.Millisecond
 )
 
+// ErrStopping is the cause of the end of a request's context if a stop gave the request
+// up. Its caller still waits for the answer.
+var ErrStopping = errors.New("the server stops")
+
 // Listener accepts callers' connections and stops them without cutting a request.
 // http.Server.Shutdown does not: it drops each request that is read after it began,
 // and closes connections on which a request lies unread.
@@ -36,16 +42,20 @@
 	net.Listener
 	// conns holds the open connections as *conn keys.
 	conns sync.Map
+	// giveUp ends the contexts of all requests.
+	giveUp context.CancelCauseFunc
 }
 
 // Listen returns a listener on raw that tracks the connections of server, which must
 // serve on it.
 func Listen(raw net.Listener, server *http.Server) *Listener {
+	base, giveUp := context.WithCancelCause(context.Background())
+	server.BaseContext = func(net.Listener) context.Context { return base }
 	server.ConnContext = func(ctx context.Context, accepted net.Conn) context.Context {
 		return context.WithValue(ctx, connKey{}, accepted)
 	}
 	server.ConnState = func(accepted net.Conn, state http.ConnState) { accepted.(*conn).setState(state) }
-	return &Listener{Listener: raw}
+	return &Listener{Listener: raw, giveUp: giveUp}
 }
 
 // Accept implements net.Listener.
@@ -60,27 +70,41 @@
 }
 
 // ShutDown stops accepting, and returns when all requests that callers sent on open
-// connections are answered. If the context ends before that, it returns its error.
-// The handler must let connections close after their answers.
+// connections are answered. If ctx ends before that, the contexts of the requests left
+// end with the cause ErrStopping, and ShutDown returns errRequestsLeft when they are
+// answered, or after replyGrace. The handler must let connections close after their answers.
 func (ls *Listener) ShutDown(ctx context.Context) error {
 	time.Sleep(acceptGrace)
 	if err := ls.Close(); err != nil {
 		return fmt.Errorf("close listener: %w", err)
 	}
+	err := ls.awaitIdle(ctx)
+	if err == nil {
+		return nil
+	}
+	ls.giveUp(ErrStopping)
+	grace, cancel := context.WithTimeout(context.Background(), replyGrace)
+	defer cancel()
+	return errors.Join(fmt.Errorf("%w: %w", errRequestsLeft, err), ls.awaitIdle(grace))
+}
+
+var errRequestsLeft = errors.New("requests are still running")
+
+// awaitIdle closes connections as they become idle, and returns when none is left. If
+// the context ends before that, it returns its error.
+func (ls *Listener) awaitIdle(ctx context.Context) error {
 	ticker := time.NewTicker(stopCheckInterval)
 	defer ticker.Stop()
 	for ls.closeIdle(time.Now()) > 0 {
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
-			return fmt.Errorf("%w: %w", errRequestsLeft, ctx.Err())
+			return fmt.Errorf("wait for the requests on open connections: %w", ctx.Err())
 		}
 	}
 	return nil
 }
 
-var errRequestsLeft = errors.New("requests are still running")
-
 // closeIdle closes the connections that wait for no request, and returns the number
 // of the others.
 func (ls *Listener) closeIdle(now time.Time) int {
--- a/internal/peer/callerhttp/listener_test.go
+++ b/internal/peer/callerhttp/listener_test.go
@@ -152,6 +152,24 @@
 	assert.Assert(t, errors.Is(dl.ShutDown(ctx), errRequestsLeft))
 }
 
+// TestStopAnswersWhatItGivesUp guards against a stop that cuts the requests which
+// outlast it without an answer.
+func TestStopAnswersWhatItGivesUp(t *testing.T) {
+	dl := serve(t, http.HandlerFunc(func(w http.ResponseWriter, rq *http.Request) {
+		<-rq.Context().Done()
+		w.Header().Set("Connection", "close")
+		if errors.Is(context.Cause(rq.Context()), ErrStopping) {
+			w.WriteHeader(http.StatusNoContent)
+		}
+	}))
+	caller := connect(t, dl)
+	send(t, caller)
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	assert.Assert(t, errors.Is(dl.ShutDown(ctx), errRequestsLeft))
+	expectAnswer(t, caller)
+}
+
 func TestFirstRequestOfConnection(t *testing.T) {
 	var first []bool
 	dl := serve(t, http.HandlerFunc(func(_ http.ResponseWriter, rq *http.Request) {
--- a/internal/query/forward/forward.go
+++ b/internal/query/forward/forward.go
@@ -118,7 +118,7 @@
 }
 
 // Service answers calls. The exported fields are set before the first call and
-// not changed, except for AttemptsSent.
+// not changed, except for AttemptsSent and Stopping.
 type Service struct {
 	Fleets *rcu.Value[view.Fleet]
 	// ConfirmedAt returns the time of the last confirmation by the platform.
@@ -131,6 +131,8 @@
 	Memory *quota.Pool
 	// AttemptsSent counts the attempts sent; the owner resets it.
 	AttemptsSent atomic.Int64
+	// Stopping is the plan of the stop that has begun; nil before that.
+	Stopping atomic.Pointer[contract.StopPlan]
 
 	// routes maps route names to *routeState.
 	routes sync.Map
@@ -216,6 +218,9 @@
 	if limit < minSendTime {
 		return contract.NewRefusal(contract.NotRun, contract.CodeDeadlineHopeless, "the deadline passed before the request was sent")
 	}
+	if sp := sv.Stopping.Load(); sp != nil && !sp.MayTake(now, rn.partsDeadline) {
+		return contract.NewRefusal(contract.NotRun, contract.CodeStopping, "this entry VM stops before the deadline of the request")
+	}
 	return nil
 }
 
--- a/internal/world/contract/outcome.go
+++ b/internal/world/contract/outcome.go
@@ -38,6 +38,7 @@
 	CodeNoSnapshot       Code = "no_snapshot"
 	CodeIsolated         Code = "isolated"
 	CodeStarting         Code = "starting"
+	CodeStopping         Code = "stopping"
 	CodeQueueFull        Code = "queue_full"
 	CodeDeadlineHopeless Code = "deadline_hopeless"
 	CodeTeamLimit        Code = "team_limit"
