Send a request on no connection on which it was rejected

Cause: the id of a request is the same for all of its sends, so that a late copy of a rejection was taken for the answer to a second send on the same connection, and so for the proof that it did not run. The copy of a rejection without id was taken for the answer to any later request; so it was on serve, whose refusals name no request.

Ruled out: the copy reaching another connection or another request by its id, which is compared.

Change: link.Trail lists the connections on which a request was rejected, and the pool gives its next sends another one, or replaces an idle one. A connection that carried an answer without id serves no more requests that may run once.

Conclusion: a rejection counts only where it can't be an older one.

--- a/internal/peer/backend/client.go
+++ b/internal/peer/backend/client.go
@@ -150,6 +150,7 @@
 		}
 		answer, err := api.RunPart(ctx, encodePart(time.Now(), pr))
 		if refused := (*backendapi.RefusedStatusCode)(nil); errors.As(err, &refused) {
+			cn.unnamed = true
 			return refusalError(refused)
 		}
 		if errors.Is(err, errNoAnswer) {
@@ -198,7 +199,7 @@
 	do func(ctx context.Context, cn *conn) error,
 ) error {
 	pl := cl.pool(sv)
-	cn, err := pl.acquire(ctx)
+	cn, err := pl.acquire(ctx, func(cn *conn) bool { return cn.suits(limits) })
 	if err != nil {
 		return err
 	}
@@ -221,6 +222,9 @@
 	before := cn.Written.Load()
 	err = do(ctx, cn)
 	if answered := (*contract.PartError)(nil); err == nil || errors.As(err, &answered) {
+		if err != nil && limits.Trail != nil {
+			limits.Trail.Add(&cn.Link)
+		}
 		pl.release(time.Now(), cn)
 		return err
 	}
--- a/internal/peer/backend/conn.go
+++ b/internal/peer/backend/conn.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"daisystage.example/daisystage/internal/container/quota"
+	"daisystage.example/daisystage/internal/query/scatter"
 	"daisystage.example/daisystage/internal/wire/backendapi"
 	"daisystage.example/daisystage/internal/world/link"
 )
@@ -61,6 +62,9 @@
 	// broken is set when the connection can't be reused: the boundary between
 	// answers is lost, or the server closes the connection.
 	broken bool
+	// unnamed is set when an answer on the connection did not name its request. A late
+	// copy of it can't be told from the answer to a later request.
+	unnamed bool
 	// staleAt is when the connection has been idle for too long to be reused,
 	// by the server's Keep-Alive header; zero if there was none.
 	staleAt time.Time
@@ -111,6 +115,16 @@
 	return cn.LastRead.Load() == 0
 }
 
+// suits reports whether an answer on the connection can be told from late copies of
+// earlier ones, as far as a request needs that. One that may run again needs not tell
+// rejections of other requests apart.
+func (cn *conn) suits(limits scatter.AttemptLimits) bool {
+	if cn.unnamed && !limits.Idempotent {
+		return false
+	}
+	return limits.Trail == nil || !limits.Trail.Has(&cn.Link)
+}
+
 func (cn *conn) close() {
 	_ = cn.raw.Close()
 }
--- a/internal/peer/backend/exchange.go
+++ b/internal/peer/backend/exchange.go
@@ -32,6 +32,8 @@
 	Err *contract.PartError
 	// Load is nil if the answer does not report it.
 	Load *Load
+	// Unnamed is set if the answer does not name the message that it belongs to.
+	Unnamed bool
 }
 
 // Notices is what a server says about itself in the head of any answer.
@@ -100,6 +102,7 @@
 		return none, err
 	}
 	answer, status := ex.Codec.Decode(sv, message, rs, body)
+	cn.unnamed = cn.unnamed || status.Unnamed
 	now := time.Now()
 	ex.Client.recordNotices(now, sv, ex.Codec.Notices(rs))
 	if status.Load != nil {
--- a/internal/peer/backend/pool.go
+++ b/internal/peer/backend/pool.go
@@ -69,21 +69,32 @@
 	}
 }
 
-// acquire returns a connection for one request, and waits for one if all are in
-// use. On an error nothing was sent.
-func (pl *pool) acquire(ctx context.Context) (*conn, error) {
+// acquire returns a connection that suits one request, and waits for one if all are in
+// use. If only others are idle, one of them is replaced. On an error nothing was sent.
+func (pl *pool) acquire(ctx context.Context, suits func(*conn) bool) (*conn, error) {
 	for {
-		if cn := pl.acquireIdle(time.Now()); cn != nil {
+		cn, unsuited := pl.acquireIdle(time.Now(), suits)
+		if cn != nil {
 			return cn, nil
 		}
 		if pl.tryReserveSlot(pl.trafficShare(time.Now())) {
+			if unsuited != nil {
+				pl.release(time.Now(), unsuited)
+			}
 			return pl.connect(ctx)
 		}
+		if unsuited != nil {
+			return pl.replace(ctx, unsuited)
+		}
 		select {
 		case cn := <-pl.idle:
-			if cn != nil && pl.usableAfterIdle(time.Now(), cn) {
-				return cn, nil
+			if cn == nil || !pl.usableAfterIdle(time.Now(), cn) {
+				continue
+			}
+			if !suits(cn) {
+				return pl.replace(ctx, cn)
 			}
+			return cn, nil
 		case <-pl.closed:
 			return nil, &contract.PartError{Cause: contract.CauseNoLink, NotRun: true, Err: errPoolClosed}
 		case <-ctx.Done():
@@ -115,18 +126,41 @@
 	pl.observedLimitUntil.Store(now.Add(observedLimitTTL).UnixNano())
 }
 
-// acquireIdle returns an idle connection, nil if there is none.
-func (pl *pool) acquireIdle(now time.Time) *conn {
-	for {
+// anyConn suits requests that may be sent on any connection.
+func anyConn(*conn) bool { return true }
+
+// acquireIdle returns an idle connection that suits a request, nil if there is none. In
+// that case it returns an idle one that does not suit it, if there is any.
+func (pl *pool) acquireIdle(now time.Time, suits func(*conn) bool) (suited, unsuited *conn) {
+	var others []*conn
+	for suited == nil {
 		select {
 		case cn := <-pl.idle:
-			if cn != nil && pl.usableAfterIdle(now, cn) {
-				return cn
+			switch {
+			case cn == nil || !pl.usableAfterIdle(now, cn):
+			case suits(cn):
+				suited = cn
+			default:
+				others = append(others, cn)
 			}
+			continue
 		default:
-			return nil
 		}
+		break
 	}
+	if suited == nil && len(others) > 0 {
+		unsuited, others = others[0], others[1:]
+	}
+	for _, cn := range others {
+		pl.release(now, cn)
+	}
+	return suited, unsuited
+}
+
+// replace closes a connection and opens another one in its slot.
+func (pl *pool) replace(ctx context.Context, cn *conn) (*conn, error) {
+	cn.close()
+	return pl.connect(ctx)
 }
 
 // usable reports whether a connection may carry another request. It closes one
--- a/internal/peer/backend/pool_test.go
+++ b/internal/peer/backend/pool_test.go
@@ -9,7 +9,9 @@
 
 	"gotest.tools/v3/assert"
 
+	"daisystage.example/daisystage/internal/query/scatter"
 	"daisystage.example/daisystage/internal/world/contract"
+	"daisystage.example/daisystage/internal/world/link"
 	"daisystage.example/daisystage/internal/world/machine"
 )
 
@@ -38,7 +40,7 @@
 	assert.Assert(t, pl.tryReserveSlot(1))
 	done := make(chan error, 1)
 	go func() {
-		_, err := pl.acquire(context.Background())
+		_, err := pl.acquire(context.Background(), anyConn)
 		done <- err
 	}()
 	time.Sleep(10 * time.Millisecond)
@@ -64,3 +66,47 @@
 	assert.Assert(t, !pl.acceptsConnections(t.Context(), time.Now()), "it refuses connections")
 	assert.Equal(t, pl.open.Load(), int64(0))
 }
+
+// TestOnlyIdleConnectionIsReplaced guards against a request that waits for good, or uses a
+// connection that does not suit it, if no other connection may be opened.
+func TestOnlyIdleConnectionIsReplaced(t *testing.T) {
+	pl := newTestPool(1)
+	pl.dial = func(context.Context, string, string) (net.Conn, error) {
+		near, _ := net.Pipe()
+		return near, nil
+	}
+	trail := &link.Trail{}
+	suits := func(cn *conn) bool { return cn.suits(scatter.AttemptLimits{Trail: trail}) }
+	first, err := pl.acquire(t.Context(), suits)
+	assert.NilError(t, err)
+	pl.release(time.Now(), first)
+	again, err := pl.acquire(t.Context(), suits)
+	assert.NilError(t, err)
+	assert.Equal(t, again, first)
+	trail.Add(&first.Link)
+	pl.release(time.Now(), first)
+	second, err := pl.acquire(t.Context(), suits)
+	assert.NilError(t, err)
+	assert.Assert(t, second != first)
+	assert.Equal(t, pl.open.Load(), int64(1))
+	// The request that waits gets a connection of its own when the other one is released.
+	trail.Add(&second.Link)
+	go func() {
+		time.Sleep(10 * time.Millisecond)
+		pl.release(time.Now(), second)
+	}()
+	third, err := pl.acquire(t.Context(), suits)
+	assert.NilError(t, err)
+	assert.Assert(t, third != second)
+	assert.Equal(t, pl.open.Load(), int64(1))
+}
+
+// TestUnnamedAnswersMakeConnectionsUnsuitable tells which requests may follow an answer that
+// does not name its request.
+func TestUnnamedAnswersMakeConnectionsUnsuitable(t *testing.T) {
+	cn := &conn{}
+	assert.Assert(t, cn.suits(scatter.AttemptLimits{}))
+	cn.unnamed = true
+	assert.Assert(t, !cn.suits(scatter.AttemptLimits{}))
+	assert.Assert(t, cn.suits(scatter.AttemptLimits{Idempotent: true}))
+}
--- a/internal/peer/backend/upkeep.go
+++ b/internal/peer/backend/upkeep.go
@@ -53,7 +53,7 @@
 	defer cancel()
 	pl := cl.pool(sv)
 	pl.trim(time.Now())
-	cn, err := pl.acquire(ctx)
+	cn, err := pl.acquire(ctx, anyConn)
 	if err != nil {
 		return
 	}
--- a/internal/query/forward/forward.go
+++ b/internal/query/forward/forward.go
@@ -167,6 +167,8 @@
 	record        *CallRecord
 	started       time.Time
 	partsDeadline time.Time
+	// trail is shared by all attempts, which have the same id.
+	trail link.Trail
 }
 
 // Run answers one call. Its error is a *contract.Refusal.
@@ -252,7 +254,7 @@
 		jb.Shards[i] = scatter.Shard{Name: name, Replicas: rn.fleet.ServersOf(name), Budget: budget}
 	}
 	attempt := Attempt{
-		AttemptLimits: scatter.AttemptLimits{Deadline: rn.partsDeadline, Idempotent: rt.Idempotent, Memory: rn.call.Memory},
+		AttemptLimits: scatter.AttemptLimits{Deadline: rn.partsDeadline, Idempotent: rt.Idempotent, Memory: rn.call.Memory, Trail: &rn.trail},
 		Message:       &rn.call.Message, Part: len(rt.Shards) > 0,
 	}
 	jb.Message = func(*scatter.Shard, int32) Attempt { return attempt }
--- a/internal/query/scatter/scatter.go
+++ b/internal/query/scatter/scatter.go
@@ -53,6 +53,10 @@
 	// Memory bounds the answers of all attempts of the request together; nil sets
 	// no bound.
 	Memory *quota.Lease
+	// Trail is shared by the attempts of one request if their answers can't be told
+	// apart: none is sent on a connection on which another was rejected. Nil if the
+	// answers name the attempt.
+	Trail *link.Trail
 }
 
 // Limits returns the limits. Message types that embed AttemptLimits inherit it.
