Tell the cause of crashes from servers that end together, and let blocks end

Cause: three servers that end at one moment counted as three crashes by one request; the peers told each other of crashes without their age, so that each merge renewed them for ten minutes, those that had expired as well; and an answer did not clear any.

Ruled out: the retention alone.

Change: a crash has an identity, an age and a generation, which is one more than the highest known when its request was sent. Requests are blocked by generations, one after the other, or by many crashes at once. Copies of a crash merge in any order and number, never to a later time. An answer of the same service clears crashes everywhere. A suspect request is sent to one server first. Two VMs with equally many crashes of a request end up with both, which they did not.

The two crashes in TestRefusals are recorded with the generations 1 and 2, since RecordCrash now takes them: crashes one after the other, as before. Fixing and blocking checks are the same.

Conclusion: a request is held responsible only if it is sent again after a crash and crashes the next server, too.

--- a/internal/node/entryvm/refusals_test.go
+++ b/internal/node/entryvm/refusals_test.go
@@ -151,8 +151,9 @@
 					ps := st.EntryVM(at)
 					for _, route := range []string{"find", "save"} {
 						fingerprint := contract.Fingerprint(contract.RoutePath(st.Plan.Team, route), []byte(`{"text":"refused"}`))
-						ps.Quarantine.RecordCrash(now, fingerprint, "one")
-						ps.Quarantine.RecordCrash(now, fingerprint, "two")
+						for generation, server := range []string{"one", "two"} {
+							ps.Quarantine.RecordCrash(now, fingerprint, contract.Crash{CrashKey: contract.CrashKey{Server: server}, Generation: generation + 1})
+						}
 					}
 				}
 			},
--- a/internal/node/forwardvm/process.go
+++ b/internal/node/forwardvm/process.go
@@ -83,10 +83,13 @@
 	// defaultZoneDelay is the assumed delay to other zones, which the settings do
 	// not contain.
 	defaultZoneDelay = 4 * time.Millisecond
-	// quarantineThreshold is the number of crashed servers from which on a request
-	// is blocked. It is 3 since callers may resend a request that crashes
-	// servers three more times.
-	quarantineThreshold = 3
+	// suspectAt and blockAt are the generations of crashes at which a request is suspect
+	// and blocked, and blockAtOnce the number of crashes in any order. Callers may resend
+	// a request that crashed three servers three more times. A request to many shards
+	// crashes one server of each at once.
+	suspectAt   = 2
+	blockAt     = 3
+	blockAtOnce = 8
 )
 
 // FrontEnd holds the parts of a process that depend on the protocols in use: how
@@ -200,7 +203,7 @@
 	ps.Metrics, endMetrics = metrics.New(cg.Name, cg.Zone)
 	ps.group.Cleanup(endMetrics)
 	quarantine := contract.NewQuarantine()
-	quarantine.SuspectAt, quarantine.BlockAt = quarantineThreshold, quarantineThreshold
+	quarantine.SuspectAt, quarantine.BlockAt, quarantine.BlockAtOnce = suspectAt, blockAt, blockAtOnce
 	transport := &entry.GRPCTransport{Dial: dial}
 	ps.group.Cleanup(transport.Close)
 	ps.unreadable = fe.Unreadable
@@ -239,8 +242,11 @@
 
 // onServerLost logs that a server's connection broke while it ran a request,
 // and passes the crash on to the peers without waiting for the next heartbeat.
-func (ps *Process) onServerLost(_ time.Time, fingerprint uint64, server string) {
+func (ps *Process) onServerLost(now time.Time, fingerprint uint64, server string) {
 	events.ServerLostToRequest.Log(ps.Log, zap.Uint64("fingerprint", fingerprint), zap.String("server", server))
+	if ps.Service.Quarantine.IsBlocked(now, fingerprint) {
+		events.Quarantined.Log(ps.Log, zap.Uint64("fingerprint", fingerprint))
+	}
 	ps.Cluster.TriggerRound()
 }
 
--- a/internal/peer/entry/cluster.go
+++ b/internal/peer/entry/cluster.go
@@ -243,6 +243,7 @@
 	now := time.Now()
 	cr.removeSilent(now)
 	cr.removeOldDepartures(now)
+	cr.Quarantine.RemoveOld(now)
 	targets := cr.targets(now)
 	done := make(chan struct{}, len(targets))
 	for _, address := range targets {
--- a/internal/peer/entry/heartbeat.go
+++ b/internal/peer/entry/heartbeat.go
@@ -63,9 +63,7 @@
 		}
 	}
 	hb.Departures = cr.encodeDepartures(now)
-	for fingerprint, cs := range cr.Quarantine.Crashes() {
-		hb.Quarantines = append(hb.Quarantines, &entrypb.Quarantine{Fingerprint: fingerprint, Servers: cs.Servers})
-	}
+	hb.Quarantines = encodeQuarantines(now, cr.Quarantine.Crashes())
 	return hb
 }
 
@@ -161,9 +159,7 @@
 	if cr.changesMembers(records) {
 		cr.members.Update(func(old members) members { return cr.mergeMembers(now, old, records) })
 	}
-	for _, qn := range hb.Quarantines {
-		cr.mergeQuarantine(now, qn)
-	}
+	cr.mergeQuarantines(now, hb.Quarantines)
 	cr.mergeDepartures(now, hb.Departures)
 }
 
@@ -215,15 +211,6 @@
 	return next
 }
 
-func (cr *Cluster) mergeQuarantine(now time.Time, qn *entrypb.Quarantine) {
-	for _, server := range qn.Servers {
-		if cr.Quarantine.CrashCount(now, qn.Fingerprint) >= len(qn.Servers) {
-			return
-		}
-		cr.Quarantine.RecordCrash(now, qn.Fingerprint, server)
-	}
-}
-
 func ageMillis(now, then time.Time) uint32 {
 	return uint32(min(max(now.Sub(then).Milliseconds(), 0), neverConfirmed))
 }
--- a/internal/query/forward/available.go
+++ b/internal/query/forward/available.go
@@ -42,7 +42,10 @@
 // for lack of room. It tells the caller to wait for servers that asked for no requests
 // meanwhile.
 func notTaken(jb *scatter.Job[Attempt], rs *scatter.Result[Answer], minCoverage float64, reason string) *contract.Refusal {
-	if rs.Parts[0].Record.Cause == contract.CauseNoRoom {
+	switch rs.Parts[0].Record.Cause {
+	case contract.CauseQuarantined:
+		return quarantineRefusal()
+	case contract.CauseNoRoom:
 		return contract.NewRefusal(contract.NotRun, contract.CodeOverloaded, "too few shards have a server with room")
 	}
 	rf := contract.NewRefusal(contract.NotRun, contract.CodeNoServer, "%s", reason)
--- a/internal/query/forward/forward.go
+++ b/internal/query/forward/forward.go
@@ -185,7 +185,7 @@
 	}
 	fingerprint := contract.Fingerprint(rn.call.Message.URL.Path, rn.call.Message.Body)
 	if sv.Quarantine.IsBlocked(now, fingerprint) {
-		return nil, contract.NewRefusal(contract.NotRun, contract.CodeQuarantined, "servers were lost while they ran this request")
+		return nil, quarantineRefusal()
 	}
 	if len(rn.route.Shards) > 0 {
 		return sv.sendToShards(ctx, now, rn, fingerprint)
@@ -193,6 +193,10 @@
 	return sv.sendToService(ctx, now, rn, fingerprint)
 }
 
+func quarantineRefusal() *contract.Refusal {
+	return contract.NewRefusal(contract.NotRun, contract.CodeQuarantined, "servers were lost while they ran this request")
+}
+
 // plan finds the call's route in the configuration in force, checks the body
 // size and computes the deadline for the servers' answers.
 func (sv *Service) plan(now time.Time, rn *run) error {
--- a/internal/query/scatter/canary.go
+++ b/internal/query/scatter/canary.go
@@ -2,17 +2,18 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"daisystage.example/daisystage/internal/world/contract"
 )
 
-// passCanary makes sure that a request whose fingerprint was not answered
-// before is first sent to one server alone, also when several callers send it.
-// It reports whether the remaining parts may be sent.
+// passCanary makes sure that a request which may crash servers is first sent to one
+// server alone, also when several callers send it. It reports whether the remaining parts
+// may be sent.
 func (ga *gather[R, H, S, M, A]) passCanary(ctx context.Context) bool {
 	quarantine := ga.engine.Quarantine
-	for !quarantine.IsProven(ga.job.Fingerprint) {
+	for ga.needsCanary(time.Now()) {
 		if quarantine.IsBlocked(time.Now(), ga.job.Fingerprint) {
 			ga.giveUpAll(contract.CauseQuarantined)
 			return false
@@ -32,6 +33,13 @@
 	return true
 }
 
+// needsCanary reports whether the request is suspected to crash servers, or its route
+// asks for a canary and its fingerprint was not answered before.
+func (ga *gather[R, H, S, M, A]) needsCanary(now time.Time) bool {
+	quarantine, fingerprint := ga.engine.Quarantine, ga.job.Fingerprint
+	return quarantine.IsSuspect(now, fingerprint) || ga.job.Settings.Canary != contract.CanaryOff && !quarantine.IsProven(fingerprint)
+}
+
 // runCanary sends one part alone and reports whether the others may follow.
 func (ga *gather[R, H, S, M, A]) runCanary(ctx context.Context, now time.Time) bool {
 	index := ga.canaryPart(now)
@@ -45,17 +53,23 @@
 	if ga.snapshotLost || ctx.Err() != nil {
 		return false
 	}
-	if !first.done || first.Answered || !ga.engine.Quarantine.IsSuspect(time.Now(), ga.job.Fingerprint) {
+	if !first.done || first.Answered || first.possibleRuns == 0 || !ga.engine.Quarantine.IsSuspect(time.Now(), ga.job.Fingerprint) {
 		return true
 	}
 	ga.giveUpAll(contract.CauseQuarantined)
 	return false
 }
 
-// canaryPart returns the index of the part to send first. It depends on the
-// fingerprint and on the entry VM, so that entry VMs which run the same
-// crashing request at once don't take down all replicas of one shard.
+// canaryPart returns the index of the part to send first: one whose servers crashed, if
+// others of them are left, or else one that depends on the fingerprint and on the entry VM, so that entry VMs which
+// run the same crashing request at once don't take down all replicas of one shard.
 func (ga *gather[R, H, S, M, A]) canaryPart(now time.Time) int {
+	if service := ga.engine.Quarantine.SuspectService(now, ga.job.Fingerprint); service != "" {
+		index := slices.IndexFunc(ga.parts, func(pt partState[A]) bool { return pt.shard.Name == service })
+		if index >= 0 && ga.chooseReplica(now, &ga.parts[index], "") != nil {
+			return index
+		}
+	}
 	rank := 0
 	if ga.engine.EntryVMRank != nil {
 		rank = ga.engine.EntryVMRank(now)
--- a/internal/query/scatter/gather.go
+++ b/internal/query/scatter/gather.go
@@ -140,7 +140,7 @@
 	defer cancel()
 	now := time.Now()
 	ga.suspect = ga.engine.Quarantine.IsSuspect(now, ga.job.Fingerprint)
-	if ga.job.Settings.Canary != contract.CanaryOff && !ga.passCanary(ctx) {
+	if !ga.passCanary(ctx) {
 		return
 	}
 	now = time.Now()
@@ -261,21 +261,23 @@
 	pt.Record.Attempts++
 	sv.State.InFlight.Add(1)
 	sv.State.PartsSent.Add(1)
-	go ga.runAttempt(ctx, now, index, ga.attempts, sv, ga.job.Message(pt.shard, ga.attempts))
+	generation := ga.engine.Quarantine.NextGeneration(now, ga.job.Fingerprint, pt.shard.Name)
+	go ga.runAttempt(ctx, now, index, ga.attempts, sv, generation, ga.job.Message(pt.shard, ga.attempts))
 }
 
 // runAttempt sends the message and reports the result. It runs in the attempt's
-// own goroutine.
-func (ga *gather[R, H, S, M, A]) runAttempt(ctx context.Context, sentAt time.Time, index int, number int32, sv *machine.Server, message M) {
+// own goroutine. generation is that of a crash of the server.
+func (ga *gather[R, H, S, M, A]) runAttempt(ctx context.Context, sentAt time.Time, index int, number int32, sv *machine.Server, generation int, message M) {
 	answer, err := ga.engine.Sender.Send(ctx, sv, message)
 	sv.State.InFlight.Add(-1)
 	now := time.Now()
 	ga.recordOutcome(now, sv, now.Sub(sentAt), err)
+	ga.recordSafety(now, ga.parts[index].shard.Name, sv, generation, err)
 	ga.results <- attemptResult[A]{part: index, number: number, answer: answer, err: err}
 }
 
-// recordOutcome updates the state of the server, the route's latencies and the
-// quarantine after an attempt.
+// recordOutcome updates the state of the server and the route's latencies after an
+// attempt.
 func (ga *gather[R, H, S, M, A]) recordOutcome(now time.Time, sv *machine.Server, took time.Duration, err error) {
 	serviceTime := took - 2*ga.engine.Zone.Delay(sv.Zone)
 	if err == nil {
@@ -288,13 +290,24 @@
 	if cause == contract.CauseSnapshotLost && ga.job.OnDataMissing != nil {
 		ga.job.OnDataMissing(now, sv)
 	}
-	// A broken connection is not attributed to a request that was answered before.
+}
+
+// recordSafety updates the quarantine after an attempt: whether the server was lost while
+// it ran the request, or survived it.
+func (ga *gather[R, H, S, M, A]) recordSafety(now time.Time, shard string, sv *machine.Server, generation int, err error) {
 	quarantine, fingerprint := ga.engine.Quarantine, ga.job.Fingerprint
-	if cause != contract.CauseLinkBroken || quarantine.IsProven(fingerprint) {
-		return
-	}
-	if quarantine.RecordCrash(now, fingerprint, sv.Name) && ga.engine.OnServerLost != nil {
-		ga.engine.OnServerLost(now, fingerprint, sv.Name)
+	cause, notRun := contract.Cause(""), false
+	if err != nil {
+		cause, notRun = causeOf(err)
+	}
+	switch {
+	case err == nil || cause == contract.CauseServerError && !notRun:
+		quarantine.MarkAnswered(now, fingerprint, shard)
+	case cause == contract.CauseLinkBroken && !quarantine.IsProven(fingerprint):
+		crash := contract.Crash{CrashKey: contract.CrashKey{Server: sv.Name, StartedMs: sv.StartedMs()}, Service: shard, Generation: generation}
+		if quarantine.RecordCrash(now, fingerprint, crash) && ga.engine.OnServerLost != nil {
+			ga.engine.OnServerLost(now, fingerprint, sv.Name)
+		}
 	}
 }
 
@@ -363,7 +376,6 @@
 	for _, ap := range pt.openAttempts {
 		ap.cancel()
 	}
-	ga.engine.Quarantine.MarkProven(ga.job.Fingerprint)
 }
 
 // adjustHedgeTimes moves the hedges of the remaining parts forward, once enough
--- a/internal/query/scatter/retry.go
+++ b/internal/query/scatter/retry.go
@@ -16,7 +16,7 @@
 		ga.giveUp(index, cause)
 		return
 	}
-	if cause == contract.CauseLinkBroken && ga.engine.Quarantine.IsSuspect(now, ga.job.Fingerprint) {
+	if cause == contract.CauseLinkBroken && ga.isNowSuspect(now) {
 		ga.suspect = true
 	}
 	if ga.suspect && !notRun {
@@ -39,6 +39,14 @@
 	ga.sendAttempt(ctx, now, index, sv, false)
 }
 
+// isNowSuspect reports whether the request became suspected to crash servers while it
+// ran: servers were lost to it one after the other, or several at once while none
+// answered.
+func (ga *gather[R, H, S, M, A]) isNowSuspect(now time.Time) bool {
+	quarantine, fingerprint := ga.engine.Quarantine, ga.job.Fingerprint
+	return quarantine.Generation(now, fingerprint) >= quarantine.SuspectAt || ga.answered == 0 && quarantine.IsSuspect(now, fingerprint)
+}
+
 // isRestartUseful reports whether the job may be restarted on another snapshot
 // and has more time left than the 99th percentile of a part's latency.
 func (ga *gather[R, H, S, M, A]) isRestartUseful(now time.Time) bool {
--- a/internal/world/machine/server.go
+++ b/internal/world/machine/server.go
@@ -67,6 +67,15 @@
 	return at != 0 && now.UnixNano()-at < int64(readmitAfter)
 }
 
+// StartedMs returns the start of the server's process in Unix milliseconds; 0 if it is
+// unknown.
+func (sv *Server) StartedMs() int64 {
+	if sv.StartedAt.IsZero() {
+		return 0
+	}
+	return sv.StartedAt.UnixMilli()
+}
+
 // AcceptsWork reports whether requests may be sent to the server: it is not
 // leaving and did not ask this process to back off.
 func (sv *Server) AcceptsWork(now time.Time) bool {
