Count the crashes of a request whatever else is answered on its path

The answers to others on the path kept the crashes of this one from being counted.

Ruled out: the limits of the quarantine.

Change: the fingerprint of a forwarded request covers caller, method, host, path with query, and body.

TestRefusals passes the route as a text of the fingerprint; it computes the same hash as the code under test, as before.

--- a/internal/node/entryvm/refusals_test.go
+++ b/internal/node/entryvm/refusals_test.go
@@ -150,7 +150,7 @@
 				for at := range st.Configs {
 					ps := st.EntryVM(at)
 					for _, route := range []string{"find", "save"} {
-						fingerprint := contract.Fingerprint(contract.RoutePath(st.Plan.Team, route), []byte(`{"text":"refused"}`))
+						fingerprint := contract.Fingerprint([]byte(`{"text":"refused"}`), contract.RoutePath(st.Plan.Team, route))
 						for generation, server := range []string{"one", "two"} {
 							ps.Quarantine.RecordCrash(now, fingerprint, contract.Crash{CrashKey: contract.CrashKey{Server: server}, Generation: generation + 1})
 						}
--- a/internal/node/forwardvm/process.go
+++ b/internal/node/forwardvm/process.go
@@ -137,9 +137,9 @@
 	carriesCallers atomic.Bool
 	// departures counts the servers that said that they are leaving, backOffs how
 	// often a server began to ask for no requests; backOffLogs limits the log lines
-	// about the latter.
-	departures, backOffs atomic.Int64
-	backOffLogs          *rate.Limiter
+	// about the latter, and lostLogs those about servers lost to requests.
+	departures, backOffs  atomic.Int64
+	backOffLogs, lostLogs *rate.Limiter
 	// callerListener accepts the callers' connections.
 	callerListener *callerhttp.Listener
 	grpc           *grpc.Server
@@ -160,6 +160,7 @@
 		LogQueue:     queue,
 		startedAt:    now,
 		backOffLogs:  rate.NewLimiter(failedLogRate, failedLogBurst),
+		lostLogs:     rate.NewLimiter(failedLogRate, failedLogBurst),
 	}
 	ps.build(now, fe)
 	if err := ps.listen(fe); err != nil {
@@ -243,7 +244,10 @@
 // onServerLost logs that a server's connection broke while it ran a request,
 // and passes the crash on to the peers without waiting for the next heartbeat.
 func (ps *Process) onServerLost(now time.Time, fingerprint uint64, server string) {
-	events.ServerLostToRequest.Log(ps.Log, zap.Uint64("fingerprint", fingerprint), zap.String("server", server))
+	if ps.lostLogs.AllowN(now, 1) {
+		events.ServerLostToRequest.Log(ps.Log, zap.Uint64("fingerprint", fingerprint), zap.String("server", server),
+			zap.Int("generation", ps.Service.Quarantine.Generation(now, fingerprint)))
+	}
 	if ps.Service.Quarantine.IsBlocked(now, fingerprint) {
 		events.Quarantined.Log(ps.Log, zap.Uint64("fingerprint", fingerprint))
 	}
--- a/internal/query/forward/forward.go
+++ b/internal/query/forward/forward.go
@@ -37,6 +37,8 @@
 // Call is a message with the deadline that the caller set for it.
 type Call struct {
 	Message Message
+	// Caller is the caller's host, the same on all its connections; empty if unknown.
+	Caller string
 	// Deadline is how long the caller waits; 0 if it set none.
 	Deadline time.Duration
 	// IsFirst is set for the first call on a connection: before it, the caller
@@ -183,7 +185,7 @@
 	if err := sv.plan(now, rn); err != nil {
 		return nil, err
 	}
-	fingerprint := contract.Fingerprint(rn.call.Message.URL.Path, rn.call.Message.Body)
+	fingerprint := rn.call.fingerprint()
 	if sv.Quarantine.IsBlocked(now, fingerprint) {
 		return nil, quarantineRefusal()
 	}
@@ -197,6 +199,13 @@
 	return contract.NewRefusal(contract.NotRun, contract.CodeQuarantined, "servers were lost while they ran this request")
 }
 
+// fingerprint returns a hash of all that tells a request of a caller from other requests,
+// apart from its id and headers.
+func (cl *Call) fingerprint() uint64 {
+	ms := &cl.Message
+	return contract.Fingerprint(ms.Body, cl.Caller, ms.Method, ms.Host, ms.URL.RequestURI())
+}
+
 // plan finds the call's route in the configuration in force, checks the body
 // size and computes the deadline for the servers' answers.
 func (sv *Service) plan(now time.Time, rn *run) error {
--- a/internal/query/request/service.go
+++ b/internal/query/request/service.go
@@ -165,7 +165,7 @@
 		limit = min(limit, rn.call.Deadline)
 	}
 	rn.deadline = now.Add(limit)
-	rn.fingerprint = contract.Fingerprint(setting.Path, rn.call.Query)
+	rn.fingerprint = contract.Fingerprint(rn.call.Query, setting.Path)
 	rn.partCount = sv.countParts(rn)
 	return nil
 }
--- a/internal/world/contract/quarantine.go
+++ b/internal/world/contract/quarantine.go
@@ -30,11 +30,15 @@
 	fingerprintSlots = 1 << 14
 )
 
-// Fingerprint returns a hash that identifies a request by its route and body.
-func Fingerprint(route string, body []byte) uint64 {
-	dg := xxhash.New()
-	_, _ = dg.WriteString(route)
-	_, _ = dg.Write([]byte{0})
+// Fingerprint returns a hash that identifies a request by its body and the texts that tell
+// it from requests with the same body, such as its route.
+func Fingerprint(body []byte, texts ...string) uint64 {
+	var dg xxhash.Digest
+	dg.Reset()
+	for _, text := range texts {
+		_, _ = dg.WriteString(text)
+		_, _ = dg.Write([]byte{0})
+	}
 	_, _ = dg.Write(body)
 	return dg.Sum64()
 }
