Give a caller that half-closes no success that no server gave

Cause: the handler took the end of its context for a caller that reads no more and returned without an answer, for which net/http sends an empty success.

Ruled out: serving such callers on. Their close can't be told from that of callers that left, whose requests must end.

The handler of TestFirstRequestOfConnection answers now, since its connection would be closed otherwise; what it checks is the same.

Conclusion: no handler can give a success by omission.

--- a/internal/peer/callerhttp/listener.go
+++ b/internal/peer/callerhttp/listener.go
@@ -32,7 +32,7 @@
 )
 
 // ErrStopping is the cause of the end of a request's context if a stop gave the request
-// up. Its caller still waits for the answer.
+// up.
 var ErrStopping = errors.New("the server stops")
 
 // Listener accepts callers' connections and stops them without cutting a request.
@@ -47,7 +47,7 @@
 }
 
 // Listen returns a listener on raw that tracks the connections of server, which must
-// serve on it.
+// serve on it. A connection whose request the handler leaves without an answer is closed.
 func Listen(raw net.Listener, server *http.Server) *Listener {
 	base, giveUp := context.WithCancelCause(context.Background())
 	server.BaseContext = func(net.Listener) context.Context { return base }
@@ -55,9 +55,46 @@
 		return context.WithValue(ctx, connKey{}, accepted)
 	}
 	server.ConnState = func(accepted net.Conn, state http.ConnState) { accepted.(*conn).setState(state) }
+	server.Handler = answerOrClose(server.Handler)
 	return &Listener{Listener: raw, giveUp: giveUp}
 }
 
+// answerOrClose closes the connection if the handler next returns without an answer. The
+// server would send an empty success, which a caller that only closed its own side of the
+// connection takes for the answer to its request.
+func answerOrClose(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, rq *http.Request) {
+		aw := &answerWriter{ResponseWriter: w}
+		next.ServeHTTP(aw, rq)
+		if !aw.answered {
+			panic(http.ErrAbortHandler)
+		}
+	})
+}
+
+// answerWriter records whether an answer was begun.
+type answerWriter struct {
+	http.ResponseWriter
+	answered bool
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (aw *answerWriter) WriteHeader(status int) {
+	aw.answered = true
+	aw.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (aw *answerWriter) Write(body []byte) (int, error) {
+	aw.answered = true
+	return aw.ResponseWriter.Write(body)
+}
+
+// Unwrap is used by http.ResponseController.
+func (aw *answerWriter) Unwrap() http.ResponseWriter {
+	return aw.ResponseWriter
+}
+
 // Accept implements net.Listener.
 func (ls *Listener) Accept() (net.Conn, error) {
 	raw, err := ls.Listener.Accept()
--- a/internal/peer/callerhttp/listener_test.go
+++ b/internal/peer/callerhttp/listener_test.go
@@ -172,8 +172,9 @@
 
 func TestFirstRequestOfConnection(t *testing.T) {
 	var first []bool
-	dl := serve(t, http.HandlerFunc(func(_ http.ResponseWriter, rq *http.Request) {
+	dl := serve(t, http.HandlerFunc(func(w http.ResponseWriter, rq *http.Request) {
 		first = append(first, IsFirstRequest(rq.Context()))
+		w.WriteHeader(http.StatusNoContent)
 	}))
 	for range 2 {
 		client := &http.Client{Transport: &http.Transport{}}
@@ -202,3 +203,13 @@
 	defer func() { _ = second.Close() }()
 	assert.Equal(t, roundTripOf(first), time.Duration(0))
 }
+
+// TestHandlerWithoutAnswer guards against a handler that returns without an answer, for
+// which the server would send an empty success.
+func TestHandlerWithoutAnswer(t *testing.T) {
+	dl := serve(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	caller := connect(t, dl)
+	send(t, caller)
+	_, err := http.ReadResponse(bufio.NewReader(caller), nil)
+	assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
+}
