Accept the connections that wait before a stop closes its listener

Cause, as traced by the review: the listener was closed 20 ms after the stop began, whether or not connections waited to be accepted. Besides, a connection between its accept and its entry in the listener's table was not counted as open, so that a stop could end before it.

Change: the listener stays open until the queue is empty, for up to 500 ms more, and the stop goes on when Accept has failed, since all connections are known then.

TestConnectionsWaitingForAccept checks the count on this system; where it is unknown, the listener is closed after 20 ms as before.

--- a/internal/peer/callerhttp/listener.go
+++ b/internal/peer/callerhttp/listener.go
@@ -18,15 +18,18 @@
 
 const (
 	// acceptGrace is left to the server before its listener is closed, to accept the
-	// connections that callers have made already: after a lack of processor time they
-	// may be many.
-	acceptGrace = 20 * time.Millisecond
+	// connections that callers have made already. If some still wait to be accepted then,
+	// as after a lack of processor time, the listener stays open for up to maxAcceptGrace.
+	acceptGrace    = 20 * time.Millisecond
+	maxAcceptGrace = 500 * time.Millisecond
 	// newConnWait is how long a stop waits for the request of a caller that has just
 	// connected, whose bytes may have to be sent again.
 	newConnWait = time.Second
 	// stopCheckInterval is the time between two looks at the open connections during
 	// a stop.
 	stopCheckInterval = 10 * time.Millisecond
+	// acceptCheckInterval is the time between two looks at the queue of connections.
+	acceptCheckInterval = 2 * time.Millisecond
 	// replyGrace is left to the requests that a stop gave up, to answer their callers.
 	replyGrace = 200 * time.Millisecond
 )
@@ -44,6 +47,9 @@
 	conns sync.Map
 	// giveUp ends the contexts of all requests.
 	giveUp context.CancelCauseFunc
+	// ended is closed when Accept first fails: all connections are in conns then.
+	ended     chan struct{}
+	endedOnce sync.Once
 }
 
 // Listen returns a listener on raw that tracks the connections of server, which must
@@ -56,7 +62,7 @@
 	}
 	server.ConnState = func(accepted net.Conn, state http.ConnState) { accepted.(*conn).setState(state) }
 	server.Handler = answerOrClose(server.Handler)
-	return &Listener{Listener: raw, giveUp: giveUp}
+	return &Listener{Listener: raw, giveUp: giveUp, ended: make(chan struct{})}
 }
 
 // answerOrClose closes the connection if the handler next returns without an answer. The
@@ -99,6 +105,7 @@
 func (ls *Listener) Accept() (net.Conn, error) {
 	raw, err := ls.Listener.Accept()
 	if err != nil {
+		ls.endedOnce.Do(func() { close(ls.ended) })
 		return nil, err
 	}
 	cn := &conn{Conn: raw, listener: ls, acceptedAt: time.Now()}
@@ -111,10 +118,14 @@
 // end with the cause ErrStopping, and ShutDown returns errRequestsLeft when they are
 // answered, or after replyGrace. The handler must let connections close after their answers.
 func (ls *Listener) ShutDown(ctx context.Context) error {
-	time.Sleep(acceptGrace)
+	ls.awaitAccepted()
 	if err := ls.Close(); err != nil {
 		return fmt.Errorf("close listener: %w", err)
 	}
+	select {
+	case <-ls.ended:
+	case <-ctx.Done():
+	}
 	err := ls.awaitIdle(ctx)
 	if err == nil {
 		return nil
@@ -127,6 +138,28 @@
 
 var errRequestsLeft = errors.New("requests are still running")
 
+// awaitAccepted waits until no connection waits to be accepted. The operating system resets
+// those that are left when the listener is closed, with their requests unread.
+func (ls *Listener) awaitAccepted() {
+	time.Sleep(acceptGrace)
+	for waited := acceptGrace; waitingConns(ls.Listener) > 0 && waited < maxAcceptGrace; waited += acceptCheckInterval {
+		time.Sleep(acceptCheckInterval)
+	}
+}
+
+// waitingConns returns the number of connections that wait to be accepted by a listener; 0
+// if it is unknown.
+func waitingConns(listener net.Listener) int {
+	waiting := 0
+	withDescriptor(listener, func(descriptor int) {
+		// For a listening socket, the field holds the length of its queue.
+		if info, err := unix.GetsockoptTCPInfo(descriptor, unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			waiting = int(info.Unacked)
+		}
+	})
+	return waiting
+}
+
 // awaitIdle closes connections as they become idle, and returns when none is left. If
 // the context ends before that, it returns its error.
 func (ls *Listener) awaitIdle(ctx context.Context) error {
@@ -236,9 +269,9 @@
 	return count > 0
 }
 
-// withDescriptor calls do with the file descriptor of a connection. It does nothing if
-// the connection has none or is closed.
-func withDescriptor(raw net.Conn, do func(descriptor int)) {
+// withDescriptor calls do with the file descriptor of a connection or listener. It does
+// nothing if that has none or is closed.
+func withDescriptor(raw any, do func(descriptor int)) {
 	sc, ok := raw.(syscall.Conn)
 	if !ok {
 		return
--- a/internal/peer/callerhttp/listener_test.go
+++ b/internal/peer/callerhttp/listener_test.go
@@ -213,3 +213,20 @@
 	_, err := http.ReadResponse(bufio.NewReader(caller), nil)
 	assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
 }
+
+// TestConnectionsWaitingForAccept counts the connections that a stop must not reset.
+func TestConnectionsWaitingForAccept(t *testing.T) {
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = raw.Close() }()
+	for range 3 {
+		cn, err := net.Dial("tcp", raw.Addr().String())
+		assert.NilError(t, err)
+		defer func() { _ = cn.Close() }()
+	}
+	assert.Equal(t, waitingConns(raw), 3)
+	accepted, err := raw.Accept()
+	assert.NilError(t, err)
+	defer func() { _ = accepted.Close() }()
+	assert.Equal(t, waitingConns(raw), 2)
+}
