Skip an answer to another request where the own one can't be sent again

Cause: an answer with another request's id ended the connection, and the request with it.

Change: such an answer, complete and well framed, is skipped, up to four in a row, and the request waits on for its own. Requests that may run again are sent again, as before. Bytes behind the last answer that was read still end the use of a connection.

Before: TestAnswerToOtherRequestIsSkipped fails, 504. After: it passes; each of 30 requests is answered and runs once.

Conclusion: the id tells whose answer it is, so that another's is no reason to give up one's own.

--- a/internal/peer/backend/conn.go
+++ b/internal/peer/backend/conn.go
@@ -62,6 +62,9 @@
 	// broken is set when the connection can't be reused: the boundary between
 	// answers is lost, or the server closes the connection.
 	broken bool
+	// trailing is set if bytes follow the last answer that was read. They belong to no
+	// request, unless another answer is expected.
+	trailing bool
 	// unnamed is set when an answer on the connection did not name its request. A late
 	// copy of it can't be told from the answer to a later request.
 	unnamed bool
@@ -145,12 +148,22 @@
 // Do sends one request and reads the whole answer, so that later reads of its
 // body do not fail. It returns an error as soon as the request's context is done.
 func (cn *conn) Do(rq *http.Request) (*http.Response, error) {
+	return cn.whileWanted(rq, cn.exchange)
+}
+
+// ReadNext reads one more whole answer, in place of one that belongs to another request.
+func (cn *conn) ReadNext(rq *http.Request) (*http.Response, error) {
+	return cn.whileWanted(rq, cn.readAnswer)
+}
+
+// whileWanted calls do, and breaks the connection if the request's context ends meanwhile.
+func (cn *conn) whileWanted(rq *http.Request, do func(*http.Request) (*http.Response, error)) (*http.Response, error) {
 	ctx := rq.Context()
 	if err := ctx.Err(); err != nil {
 		return nil, err
 	}
 	stop := context.AfterFunc(ctx, func() { _ = cn.raw.SetDeadline(expiredDeadline) })
-	rs, err := cn.exchange(rq)
+	rs, err := do(rq)
 	if !stop() {
 		cn.broken = true
 	}
@@ -210,8 +223,8 @@
 	if err != nil {
 		return fmt.Errorf("read body: %w", asNoAnswer(err))
 	}
-	// Bytes after a complete answer belong to no request.
-	cn.broken = cn.broken || rs.Close || cn.reader.Buffered() > 0
+	cn.broken = cn.broken || rs.Close
+	cn.trailing = cn.reader.Buffered() > 0
 	cn.staleAt = staleAt(time.Now(), rs.Header.Get("Keep-Alive"))
 	rs.Body = io.NopCloser(bytes.NewReader(body))
 	return nil
--- a/internal/peer/backend/exchange.go
+++ b/internal/peer/backend/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -13,6 +14,9 @@
 	"daisystage.example/daisystage/internal/world/machine"
 )
 
+// maxSkipped is the number of answers to other requests that one request skips.
+const maxSkipped = 4
+
 // Message is a request that an Exchanger can send.
 type Message interface {
 	// Limits returns the deadline and the retry properties of the message.
@@ -32,6 +36,8 @@
 	Err *contract.PartError
 	// Load is nil if the answer does not report it.
 	Load *Load
+	// Foreign is set if the answer names another message.
+	Foreign bool
 	// Unnamed is set if the answer does not name the message that it belongs to.
 	Unnamed bool
 }
@@ -86,20 +92,38 @@
 	if err != nil {
 		return none, &contract.PartError{Cause: contract.CauseServerError, NotRun: true, Err: err}
 	}
-	cn.memory = message.Limits().Memory
+	limits := message.Limits()
+	cn.memory = limits.Memory
+	defer func() { cn.memory = nil }()
 	rs, err := cn.Do(rq)
-	cn.memory = nil
-	switch {
-	case errors.Is(err, errNoAnswer):
-		return none, ex.Client.discardMismatched(cn, err)
-	case errors.Is(err, quota.ErrExhausted):
-		return none, &contract.PartError{Cause: contract.CauseNoMemory, Err: err}
-	case err != nil:
-		return none, err
+	for skipped := 0; ; skipped++ {
+		switch {
+		case errors.Is(err, errNoAnswer):
+			return none, ex.Client.discardMismatched(cn, err)
+		case errors.Is(err, quota.ErrExhausted):
+			return none, &contract.PartError{Cause: contract.CauseNoMemory, Err: err}
+		case err != nil:
+			return none, err
+		}
+		answer, status, decodeErr := ex.decode(sv, cn, message, rs)
+		if decodeErr != nil {
+			return none, decodeErr
+		}
+		// A request that may run again is rather sent once more.
+		if !status.Foreign || limits.Idempotent || cn.broken || skipped == maxSkipped {
+			return answer, ex.errorOf(cn, status)
+		}
+		ex.Client.Mismatches.Add(1)
+		rs, err = cn.ReadNext(rq)
 	}
+}
+
+// decode decodes an answer, and records what it says about the server.
+func (ex *Exchanger[M, A, C]) decode(sv *machine.Server, cn *conn, message M, rs *http.Response) (A, AnswerStatus, error) {
 	body, err := io.ReadAll(rs.Body)
 	if err != nil {
-		return none, err
+		var none A
+		return none, AnswerStatus{}, fmt.Errorf("read answer: %w", err)
 	}
 	answer, status := ex.Codec.Decode(sv, message, rs, body)
 	cn.unnamed = cn.unnamed || status.Unnamed
@@ -108,13 +132,18 @@
 	if status.Load != nil {
 		sv.State.RecordLoad(now, status.Load.Running+status.Load.Waiting)
 	}
-	if status.Err == nil {
-		return answer, nil
-	}
-	if status.Err.Cause == contract.CauseMismatched {
-		return answer, ex.Client.discardMismatched(cn, status.Err.Err)
+	return answer, status, nil
+}
+
+// errorOf returns the error of an answer; nil for a good one.
+func (ex *Exchanger[M, A, C]) errorOf(cn *conn, status AnswerStatus) error {
+	switch {
+	case status.Err == nil:
+		return nil
+	case status.Err.Cause == contract.CauseMismatched:
+		return ex.Client.discardMismatched(cn, status.Err.Err)
 	}
-	return answer, status.Err
+	return status.Err
 }
 
 // checkHealth checks the health of a server over a new connection.
--- a/internal/peer/backend/pool.go
+++ b/internal/peer/backend/pool.go
@@ -166,7 +166,7 @@
 // usable reports whether a connection may carry another request. It closes one
 // that is broken, invalidated, expired or stale, or above the share.
 func (pl *pool) usable(now time.Time, cn *conn) bool {
-	if cn.broken || pl.isInvalidated(cn) || cn.Expired(now) || cn.isStale(now) || pl.open.Load() > pl.share.Load() {
+	if cn.broken || cn.trailing || pl.isInvalidated(cn) || cn.Expired(now) || cn.isStale(now) || pl.open.Load() > pl.share.Load() {
 		pl.discard(cn)
 		return false
 	}
