Send the canary of a suspect request to no server that failed just now

All requests of a suspect fingerprint wait for its canary. If the servers of its shard were lost and had not left the registry, the canary waited for a connection to one of them, and so did the others in turn. It goes to another shard now, whose answer lets them pass.

--- a/internal/query/scatter/canary.go
+++ b/internal/query/scatter/canary.go
@@ -66,8 +66,11 @@
 func (ga *gather[R, H, S, M, A]) canaryPart(now time.Time) int {
 	if service := ga.engine.Quarantine.SuspectService(now, ga.job.Fingerprint); service != "" {
 		index := slices.IndexFunc(ga.parts, func(pt partState[A]) bool { return pt.shard.Name == service })
-		if index >= 0 && ga.chooseReplica(now, &ga.parts[index], "") != nil {
-			return index
+		if index >= 0 {
+			// A server that failed just now would not tell anything, and keep others waiting.
+			if sv := ga.chooseReplica(now, &ga.parts[index], ""); sv != nil && !sv.State.IsSuspect(now) {
+				return index
+			}
 		}
 	}
 	rank := 0
