Pass the retry budget of lost entry VMs on after a window

Cause: the others divided the slack among themselves as soon as they noticed the loss, while the last sends of the lost ones were still in the window.

Change: a share is computed for the largest number of entry VMs of the last window.

Before: TestLostVMsLeaveTheirShareLater fails, 117 of 108.0 in the window up to 19.2 s. After: it passes, and the others use the whole budget once the window has passed.

Left: VMs that are newly selected for callers get their part of the slack at once; with many VMs the ratio is most of the budget.

--- a/internal/node/forwardvm/upkeep.go
+++ b/internal/node/forwardvm/upkeep.go
@@ -191,15 +191,15 @@
 	switch {
 	case ps.isDiscoveringPeers(now) || len(selected) == 0 || len(selected) >= live:
 		ps.Backend.SetShare(backend.Share{EntryVMs: live})
-		ps.Service.Budgets.SetShare(retries, live)
+		ps.Service.Budgets.SetShare(now, retries, live)
 	case isSelected:
 		ps.Backend.SetShare(backend.Share{EntryVMs: len(selected), ReservedPercent: unselectedPercent})
-		ps.Service.Budgets.SetShare(retries, len(selected))
+		ps.Service.Budgets.SetShare(now, retries, len(selected))
 	default:
 		ps.Backend.SetShare(backend.Share{EntryVMs: live, ReservedPercent: 100 - unselectedPercent})
 		// The slack is divided among the selected entry VMs.
 		retries.Slack = 0
-		ps.Service.Budgets.SetShare(retries, 1)
+		ps.Service.Budgets.SetShare(now, retries, 1)
 	}
 }
 
--- a/internal/query/forward/budgets.go
+++ b/internal/query/forward/budgets.go
@@ -1,7 +1,9 @@
 package forward
 
 import (
+	"cmp"
 	"errors"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,6 +18,9 @@
 	share atomic.Pointer[contract.RetryBudget]
 	// services maps service names to *contract.ServiceBudget.
 	services sync.Map
+	// counts holds the numbers of entry VMs that shared the budget in the last window,
+	// oldest first. Only SetShare uses it.
+	counts []vmCount
 	// startedAt is when this process began to count requests.
 	startedAt time.Time
 }
@@ -24,14 +29,24 @@
 // budget for a number of entry VMs, this one included.
 func NewBudgets(now time.Time, total contract.RetryBudget, entryVMs int) *Budgets {
 	bg := &Budgets{startedAt: now}
-	bg.SetShare(total, entryVMs)
+	bg.SetShare(now, total, entryVMs)
 	return bg
 }
 
-// SetShare recomputes this process's share of the total budget for a number
-// of entry VMs, this one included.
-func (bg *Budgets) SetShare(total contract.RetryBudget, entryVMs int) {
-	share := total.Share(entryVMs)
+// vmCount is a number of entry VMs and when it was last counted.
+type vmCount struct {
+	entryVMs int
+	at       time.Time
+}
+
+// SetShare recomputes this process's share of the total budget for a number of entry VMs,
+// this one included. The share of an entry VM that is lost falls to the others after a
+// window: until then, its last sends count as well. SetShare is called by one goroutine.
+func (bg *Budgets) SetShare(now time.Time, total contract.RetryBudget, entryVMs int) {
+	bg.counts = slices.DeleteFunc(bg.counts, func(vc vmCount) bool { return vc.entryVMs == entryVMs || now.Sub(vc.at) > total.Window })
+	bg.counts = append(bg.counts, vmCount{entryVMs, now})
+	most := slices.MaxFunc(bg.counts, func(a, b vmCount) int { return cmp.Compare(a.entryVMs, b.entryVMs) })
+	share := total.Share(most.entryVMs)
 	bg.share.Store(&share)
 }
 
