--- a/internal/peer/entry/quarantines_test.go
+++ b/internal/peer/entry/quarantines_test.go
@@ -6,8 +6,10 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
+	"daisystage.example/daisystage/internal/wire/entrypb"
 	"daisystage.example/daisystage/internal/world/contract"
 )
 
@@ -91,3 +93,19 @@
 	later := now.Add(weakEvidenceTTL)
 	assert.Equal(t, len(all[0].Heartbeat(later, "").Quarantines), 1, "only the request that crashed several")
 }
+
+// BenchmarkQuarantinesInHeartbeat encodes and merges the crashes of a full quarantine.
+func BenchmarkQuarantinesInHeartbeat(b *testing.B) {
+	_, all := newClusters(2)
+	now := time.Now()
+	for at := range 512 {
+		all[0].Quarantine.RecordCrash(now, uint64(at), crashOf(fmt.Sprint("i-", at), 1+at%3))
+	}
+	bytes := 0
+	for b.Loop() {
+		messages := encodeQuarantines(now, all[0].Quarantine.Crashes())
+		all[1].mergeQuarantines(now, messages)
+		bytes = proto.Size(&entrypb.Heartbeat{Quarantines: messages})
+	}
+	b.ReportMetric(float64(bytes), "bytes")
+}
