Let the server close connections after bodies beyond the limit again

Cause: http.MaxBytesReader tells the server's own response writer to close the connection, and found the writer that records answers in its place.

Evidence: TestInvalidRequestsAreRefused fails at its fifth request, and passes with callerhttp.LimitBody, which passes the server's writer on. The header Connection: close alone is not enough: the caller's request then ends with EOF before it has read the answer.

--- a/internal/peer/caller/handler.go
+++ b/internal/peer/caller/handler.go
@@ -14,6 +14,7 @@
 	"github.com/go-faster/jx"
 	"github.com/ogen-go/ogen/ogenerrors"
 
+	"daisystage.example/daisystage/internal/peer/callerhttp"
 	"daisystage.example/daisystage/internal/query/request"
 	"daisystage.example/daisystage/internal/wire/callerapi"
 	"daisystage.example/daisystage/internal/world/contract"
@@ -53,7 +54,7 @@
 		if hd.Draining.Load() {
 			rw.Header().Set("Connection", "close")
 		}
-		rq.Body = http.MaxBytesReader(rw, rq.Body, hd.MaxBody)
+		callerhttp.LimitBody(rw, rq, hd.MaxBody)
 		routes.ServeHTTP(rw, rq)
 	}), nil
 }
--- a/internal/peer/callerhttp/listener.go
+++ b/internal/peer/callerhttp/listener.go
@@ -101,6 +101,16 @@
 	return aw.ResponseWriter
 }
 
+// LimitBody bounds the body of a request, in bytes. The connection is closed after the
+// answer to a request with a larger one.
+func LimitBody(w http.ResponseWriter, rq *http.Request, limit int64) {
+	// The server's own writer closes the connection such that the caller can read the answer.
+	if aw, ok := w.(*answerWriter); ok {
+		w = aw.ResponseWriter
+	}
+	rq.Body = http.MaxBytesReader(w, rq.Body, limit)
+}
+
 // Accept implements net.Listener.
 func (ls *Listener) Accept() (net.Conn, error) {
 	raw, err := ls.Listener.Accept()
