Prove a service safe by the absence of its crashes, not by a mark of its own

The proof that a service answered a request took a slot of 16,384 for each service beside that of the request, so that the slots of popular requests to many shards would soon overwrite each other, and their first crash would count. The mark of the request is enough: it speaks for each service that has no crash since its last answer.

The tests of the quarantine pass as before (3 and 4 crashes in TestCrashingRequestIsBlockedAmongOthers).

--- a/internal/world/contract/quarantine.go
+++ b/internal/world/contract/quarantine.go
@@ -60,8 +60,8 @@
 	At time.Time `json:"at"`
 	// Generation orders the crashes of one fingerprint: it is one more than the highest
 	// generation known when the request was sent. Servers that end together have the
-	// same one. It is 0 if the request had been answered before, and is then no evidence
-	// by itself.
+	// same one. It is 0 for the first crash at a service after an answer to the request,
+	// which is no evidence by itself.
 	Generation int `json:"generation"`
 	// Cleared is set once a server of the service answered a request of the fingerprint
 	// after the crash. It is never reset.
@@ -110,6 +110,11 @@
 	return count
 }
 
+// hasOf reports whether a crash of a server of a service counts.
+func (cs Crashes) hasOf(now time.Time, service string) bool {
+	return slices.ContainsFunc(cs, func(crash Crash) bool { return crash.Service == service && crash.isEvidence(now) })
+}
+
 // LastAt returns the time of the last crash that counts; the zero time if there is none.
 func (cs Crashes) LastAt(now time.Time) time.Time {
 	last := time.Time{}
@@ -169,8 +174,8 @@
 	Pause time.Duration
 
 	crashes *rcu.Value[map[uint64]Crashes]
-	// proven holds fingerprints of answered requests, and proofKeys, each in the slot of
-	// its low bits. A new one overwrites the one in its slot.
+	// proven holds fingerprints of answered requests, each in the slot of its low
+	// bits. A new fingerprint overwrites the one in its slot.
 	proven []atomic.Uint64
 	// flights holds the current first runs, each in the slot of the low bits of
 	// its fingerprint.
@@ -190,8 +195,9 @@
 // NextGeneration returns the generation of a crash to which a request of the
 // fingerprint, sent to a service now, would lead.
 func (qn *Quarantine) NextGeneration(now time.Time, fingerprint uint64, service string) int {
-	generation := qn.Generation(now, fingerprint)
-	if generation == 0 && qn.isProven(proofKey(fingerprint, service)) {
+	crashes := (*qn.crashes.Load())[fingerprint]
+	generation := crashes.Generation(now)
+	if generation == 0 && !crashes.hasOf(now, service) && qn.IsProven(fingerprint) {
 		return 0
 	}
 	return generation + 1
@@ -229,9 +235,6 @@
 		}
 		return next
 	})
-	if isNew && !crash.Cleared {
-		qn.unmarkProven(proofKey(fingerprint, crash.Service))
-	}
 	return isNew
 }
 
@@ -336,16 +339,14 @@
 // MarkAnswered records that a server of a service answered a request of the
 // fingerprint. The crashes of servers of that service count no more.
 func (qn *Quarantine) MarkAnswered(now time.Time, fingerprint uint64, service string) {
-	qn.markProven(fingerprint)
-	qn.markProven(proofKey(fingerprint, service))
-	isCleared := func(cs Crash) bool { return cs.Service == service && cs.isEvidence(now) }
-	if !slices.ContainsFunc((*qn.crashes.Load())[fingerprint], isCleared) {
+	qn.proven[fingerprint%fingerprintSlots].Store(fingerprint)
+	if !(*qn.crashes.Load())[fingerprint].hasOf(now, service) {
 		return
 	}
 	qn.crashes.Update(func(old map[uint64]Crashes) map[uint64]Crashes {
 		crashes := slices.Clone(old[fingerprint])
 		for i := range crashes {
-			crashes[i].Cleared = crashes[i].Cleared || isCleared(crashes[i])
+			crashes[i].Cleared = crashes[i].Cleared || crashes[i].Service == service
 		}
 		next := maps.Clone(old)
 		next[fingerprint] = crashes
@@ -353,27 +354,8 @@
 	})
 }
 
-// IsProven reports whether a request of the fingerprint was answered, and none led to a
-// crash since, as far as this entry VM knows. Fingerprints may be dropped in favor of
-// newer ones.
+// IsProven reports whether a request of the fingerprint was answered, as far as this
+// entry VM knows. Fingerprints may be dropped in favor of newer ones.
 func (qn *Quarantine) IsProven(fingerprint uint64) bool {
-	return qn.isProven(fingerprint)
-}
-
-// proofKey returns the key under which it is recorded that a service answered requests of
-// a fingerprint.
-func proofKey(fingerprint uint64, service string) uint64 {
-	return fingerprint ^ xxhash.Sum64String(service)
-}
-
-func (qn *Quarantine) markProven(key uint64) {
-	qn.proven[key%fingerprintSlots].Store(key)
-}
-
-func (qn *Quarantine) unmarkProven(key uint64) {
-	qn.proven[key%fingerprintSlots].CompareAndSwap(key, 0)
-}
-
-func (qn *Quarantine) isProven(key uint64) bool {
-	return qn.proven[key%fingerprintSlots].Load() == key
+	return qn.proven[fingerprint%fingerprintSlots].Load() == fingerprint
 }
