--- a/internal/query/scatter/canary.go
+++ b/internal/query/scatter/canary.go
@@ -61,8 +61,9 @@
 }
 
 // canaryPart returns the index of the part to send first: one whose servers crashed, if
-// others of them are left, or else one that depends on the fingerprint and on the entry VM, so that entry VMs which
-// run the same crashing request at once don't take down all replicas of one shard.
+// others of them are left, or else one that depends on the fingerprint and on the entry
+// VM, so that entry VMs which run the same crashing request at once don't take down all
+// replicas of one shard.
 func (ga *gather[R, H, S, M, A]) canaryPart(now time.Time) int {
 	if service := ga.engine.Quarantine.SuspectService(now, ga.job.Fingerprint); service != "" {
 		index := slices.IndexFunc(ga.parts, func(pt partState[A]) bool { return pt.shard.Name == service })
--- a/internal/world/contract/quarantine.go
+++ b/internal/world/contract/quarantine.go
@@ -115,8 +115,8 @@
 	return slices.ContainsFunc(cs, func(crash Crash) bool { return crash.Service == service && crash.isEvidence(now) })
 }
 
-// LastAt returns the time of the last crash that counts; the zero time if there is none.
-func (cs Crashes) LastAt(now time.Time) time.Time {
+// lastAt returns the time of the last crash that counts; the zero time if there is none.
+func (cs Crashes) lastAt(now time.Time) time.Time {
 	last := time.Time{}
 	for i := range cs {
 		if cs[i].isEvidence(now) && cs[i].At.After(last) {
@@ -245,7 +245,7 @@
 		if fingerprint == except {
 			continue
 		}
-		have, last := crashes.Generation(now), crashes.LastAt(now)
+		have, last := crashes.Generation(now), crashes.lastAt(now)
 		if found == except || have < generation || have == generation && last.Before(at) {
 			found, generation, at = fingerprint, have, last
 		}
@@ -269,7 +269,7 @@
 	}
 	generation := crashes.Generation(now)
 	return generation >= qn.BlockAt || crashes.count(now) >= qn.BlockAtOnce ||
-		generation >= qn.SuspectAt && now.Sub(crashes.LastAt(now)) < qn.Pause
+		generation >= qn.SuspectAt && now.Sub(crashes.lastAt(now)) < qn.Pause
 }
 
 // IsSuspect reports whether requests of the fingerprint must not be retried, and must be
@@ -283,7 +283,7 @@
 // fingerprint; empty if there is none.
 func (qn *Quarantine) SuspectService(now time.Time, fingerprint uint64) string {
 	crashes := (*qn.crashes.Load())[fingerprint]
-	last := crashes.LastAt(now)
+	last := crashes.lastAt(now)
 	for i := range crashes {
 		if crashes[i].isEvidence(now) && crashes[i].At.Equal(last) {
 			return crashes[i].Service
