Add the types and settings that the parts of the plan share

Customers, shared rates, their tolerances, codes of refusals and the settings that switch the parts on.

--- a/internal/node/forwardvm/config.go
+++ b/internal/node/forwardvm/config.go
@@ -52,6 +52,22 @@
 	MaxDirectoryTTL time.Duration
 	// Retries bounds the hedges and retries of all entry VMs together.
 	Retries contract.RetryBudget
+	// MaxDescriptors is the number of file descriptors that this process may open; 0
+	// if unknown.
+	MaxDescriptors int
+	// RevokeWithin is the time after which no request with a withdrawn key may run
+	// anywhere; 0 if only ApplyWithin holds.
+	RevokeWithin time.Duration
+	// Quota is the tolerance of customers' limits.
+	Quota contract.QuotaBounds
+	// UsesWarmUp is set if the limits of cold servers and the evacuation of zones are
+	// in force, WarmUp is the tolerance of the limits, and EvacuateWithin the time within
+	// which an evacuated zone must get no more requests.
+	UsesWarmUp     bool
+	WarmUp         contract.WarmUpBounds
+	EvacuateWithin time.Duration
+	// PlacesByWork is set if requests are placed by their expected work.
+	PlacesByWork bool
 	// LogLevel is the name of a zap level.
 	LogLevel string
 }
@@ -68,6 +84,8 @@
 	defaultMaxDirectoryTTL = 5 * time.Second
 	defaultRetryWindow     = 10 * time.Second
 	defaultMemoryMB        = 256
+	defaultQuotaWindow     = 5 * time.Second
+	defaultEvacuateWithin  = 5 * time.Second
 )
 
 // messageMemoryDivisor is the part of the VM's memory that the bodies of requests
@@ -88,8 +106,9 @@
 func (Config) Defaults() Config {
 	return Config{
 		DrainFor: defaultDrainFor, ApplyWithin: defaultApplyWithin, StopWithin: defaultStopWithin, DirectoryTTL: defaultDirectoryTTL, MaxDirectoryTTL: defaultMaxDirectoryTTL,
-		Retries:  contract.RetryBudget{Window: defaultRetryWindow},
-		LogLevel: "info",
+		Retries: contract.RetryBudget{Window: defaultRetryWindow}, Quota: contract.QuotaBounds{Window: defaultQuotaWindow},
+		EvacuateWithin: defaultEvacuateWithin,
+		LogLevel:       "info",
 	}
 }
 
@@ -117,6 +136,12 @@
 	switch {
 	case cg.Retries.Ratio < 0 || cg.Retries.Slack < 0:
 		return &contract.FieldError{Key: "retries", Accepted: "a ratio and a slack that are not negative"}
+	case cg.Quota.Overage < 0 || cg.Quota.Slack < 0:
+		return &contract.FieldError{Key: "quota", Accepted: "an overage and a slack that are not negative"}
+	case cg.WarmUp.Overage < 0 || cg.WarmUp.Slack < 0:
+		return &contract.FieldError{Key: "warm_up", Accepted: "an overage and a slack that are not negative"}
+	case cg.MaxDescriptors < 0:
+		return &contract.FieldError{Key: "max_descriptors", Accepted: "a number that is not negative"}
 	case cg.MemoryMB < 0:
 		return &contract.FieldError{Key: "memory_mb", Accepted: "a number that is not negative"}
 	case cg.StopWithin < time.Second:
--- a/internal/world/contract/outcome.go
+++ b/internal/world/contract/outcome.go
@@ -54,6 +54,13 @@
 	CodeLowCoverage      Code = "coverage_below_minimum"
 	CodeAlreadyRun       Code = "already_run"
 	CodeCallerGone       Code = "caller_gone"
+	// CodeUnknownKey refuses a request without a key that the configuration knows.
+	CodeUnknownKey Code = "unknown_key"
+	// CodeStaleKeys refuses a request with a key, since the configuration may be out of
+	// date.
+	CodeStaleKeys Code = "stale_keys"
+	// CodeOverLimit refuses a request beyond the limit of its customer.
+	CodeOverLimit Code = "over_limit"
 )
 
 // Refusal is the error of a request that is not answered.
--- a/internal/world/contract/table.go
+++ b/internal/world/contract/table.go
@@ -46,6 +46,8 @@
 	Goal time.Duration `json:"goal_ns"`
 	// Priority is the priority of the route; 0 is the highest.
 	Priority int `json:"priority"`
+	// Open is set if requests need no key although the table has customers.
+	Open bool `json:"open,omitempty"`
 	// MaxAttempts is the maximum number of servers of one service to which a
 	// request is sent; at least 1.
 	MaxAttempts int `json:"max_attempts"`
@@ -104,6 +106,10 @@
 	ConnectionLimit int `json:"connection_limit"`
 	// HealthPath is the path of the health check.
 	HealthPath string `json:"health_path"`
+	// WarmUp is how long a server is cold after its start, and WarmUpRate the requests a
+	// second that a cold server bears; 0 sets no limit.
+	WarmUp     time.Duration `json:"warm_up_ns,omitempty"`
+	WarmUpRate float64       `json:"warm_up_rate,omitempty"`
 }
 
 // CallerLimits limits the requests and connections of callers.
