Count no crash against a request of which nothing was written

What callers saw: requests could become suspect, and be refused for ten minutes, for the loss of servers that got nothing of them: a server that ended while a connection to it was idle, and was noticed by the write.

Cause: recordSafety counted each broken connection, also if the attempt provably did not run.

Evidence: TestUnwrittenAttemptIsNoCrash fails before (a server counted as lost), passes after; attempts that were written still count.

--- a/internal/query/scatter/engine_test.go
+++ b/internal/query/scatter/engine_test.go
@@ -324,3 +324,24 @@
 	ga.sendDueHedges(t.Context(), now)
 	assert.Equal(t, pt.Record.NoRetryReason, contract.NoRetryNoReplica)
 }
+
+// TestUnwrittenAttemptIsNoCrash breaks connections before and after an attempt was written
+// to them. A server that ended before it got anything of a request must not count as
+// crashed by it, or requests that wait for a lost zone would be quarantined.
+func TestUnwrittenAttemptIsNoCrash(t *testing.T) {
+	for _, notRun := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			fs := &fakeServers{respond: func(*machine.Server, string, int) (time.Duration, error) {
+				return time.Millisecond, &contract.PartError{Cause: contract.CauseLinkBroken, NotRun: notRun}
+			}}
+			en := newEngine(fs)
+			lost := 0
+			en.OnServerLost = func(time.Time, uint64, string) { lost++ }
+			jb := newJob(time.Now(), 1, newJobSettings(), &limitedBudget{left: 10})
+			rs := en.Run(t.Context(), jb)
+			assert.Equal(t, rs.MayHaveRun, !notRun)
+			assert.Equal(t, lost > 0, !notRun)
+			time.Sleep(time.Minute)
+		})
+	}
+}
--- a/internal/query/scatter/gather.go
+++ b/internal/query/scatter/gather.go
@@ -303,7 +303,7 @@
 	switch {
 	case err == nil || cause == contract.CauseServerError && !notRun:
 		quarantine.MarkAnswered(now, fingerprint, shard)
-	case cause == contract.CauseLinkBroken:
+	case cause == contract.CauseLinkBroken && !notRun:
 		crash := contract.Crash{CrashKey: contract.CrashKey{Server: sv.Name, StartedMs: sv.StartedMs()}, Service: shard, Generation: generation}
 		if quarantine.RecordCrash(now, fingerprint, crash) && ga.engine.OnServerLost != nil {
 			ga.engine.OnServerLost(now, fingerprint, sv.Name)
