--- a/internal/node/forwardvm/upkeep.go
+++ b/internal/node/forwardvm/upkeep.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"daisystage.example/daisystage/internal/node/events"
+	"daisystage.example/daisystage/internal/node/lifecycle"
 	"daisystage.example/daisystage/internal/peer/backend"
 	"daisystage.example/daisystage/internal/world/machine"
 	"daisystage.example/daisystage/internal/world/view"
@@ -128,9 +129,13 @@
 func (ps *Process) runUpkeep(ctx context.Context) {
 	ticker := time.NewTicker(upkeepInterval)
 	defer ticker.Stop()
+	var stalls lifecycle.StallDetector
 	for round := 0; ; round++ {
 		select {
 		case now := <-ticker.C:
+			if st, ok := stalls.Observe(time.Now(), lifecycle.CPUTime(), upkeepInterval); ok {
+				events.Paused.Log(ps.Log, zap.Duration("for", st.For), zap.Duration("cpu", st.CPU))
+			}
 			ps.upkeepRound(now, round%roundsPerFullUpkeep == 0)
 			ps.Backend.Warm(ctx, now, ps.serversToWarm(now))
 		case <-ctx.Done():
