Let customers' keys decide which requests run

A configuration may list customers with keys. Requests on routes that are not open now need a known key; servers get the customer's name instead of the key, in each part, retry and hedge. The check is repeated right before each send with the configuration then in force. Without customers, headers are forwarded as before.

--- a/internal/node/forwardvm/process.go
+++ b/internal/node/forwardvm/process.go
@@ -231,6 +231,7 @@
 	ps.Cluster.Init()
 	ps.Service = &forward.Service{
 		Fleets: ps.Fleets, ConfirmedAt: ps.Cluster.ConfirmedAt, Quarantine: quarantine,
+		ApplyWithin: func() time.Duration { return ps.settings.Load().ApplyWithin },
 		Engine: &scatter.Engine[scatter.LeastExpectedLatency, scatter.GoalHedge, scatter.StartWithRoom, forward.Attempt, forward.Answer]{
 			Sender: fe.NewSender(ps.Backend, ps.Fleets), Zone: zone.Zone{Name: cg.Zone, DefaultDelay: defaultZoneDelay},
 			Quarantine: quarantine, OnServerLost: ps.onServerLost,
--- a/internal/node/forwardvm/upkeep.go
+++ b/internal/node/forwardvm/upkeep.go
@@ -49,7 +49,9 @@
 		ps.Cluster.TriggerRound()
 	}
 	if after.Table != before.Table {
-		events.TableInForce.Log(ps.Log, zap.Int64("version", after.Table.Version), zap.Int("routes", len(after.Table.Routes)))
+		events.TableInForce.Log(ps.Log, zap.Int64("version", after.Table.Version), zap.Int("routes", len(after.Table.Routes)),
+			zap.Int("customers", len(after.Table.Customers)), zap.Int("unusable_customers", after.Table.UnusableCustomers),
+			zap.Int("ambiguous_keys", after.Table.AmbiguousKeys))
 	}
 }
 
--- a/internal/peer/backend/client.go
+++ b/internal/peer/backend/client.go
@@ -208,8 +208,8 @@
 		pl.release(now, cn)
 		return &contract.PartError{Cause: contract.CauseDeadline, NotRun: true}
 	}
-	if !sv.AcceptsWork(now) {
-		// The server said so while this request waited for a connection.
+	if !sv.AcceptsWork(now) || limits.MaySend != nil && !limits.MaySend() {
+		// Either changed while this request waited for a connection.
 		pl.release(now, cn)
 		return &contract.PartError{Cause: contract.CauseWithheld, NotRun: true}
 	}
--- a/internal/query/forward/available.go
+++ b/internal/query/forward/available.go
@@ -41,7 +41,10 @@
 // notTaken returns the refusal of a job that no server took, or that was not started
 // for lack of room. It tells the caller to wait for servers that asked for no requests
 // meanwhile.
-func notTaken(jb *scatter.Job[Attempt], rs *scatter.Result[Answer], minCoverage float64, reason string) *contract.Refusal {
+func (sv *Service) notTaken(rn *run, jb *scatter.Job[Attempt], rs *scatter.Result[Answer], reason string) *contract.Refusal {
+	if rf := sv.recheckKey(rn); rf != nil {
+		return rf
+	}
 	switch rs.Parts[0].Record.Cause {
 	case contract.CauseQuarantined:
 		return quarantineRefusal()
@@ -49,7 +52,7 @@
 		return contract.NewRefusal(contract.NotRun, contract.CodeOverloaded, "too few shards have a server with room")
 	}
 	rf := contract.NewRefusal(contract.NotRun, contract.CodeNoServer, "%s", reason)
-	if unavailable := refuseUnavailable(time.Now(), jb.Shards, minCoverage); unavailable != nil {
+	if unavailable := refuseUnavailable(time.Now(), jb.Shards, rn.route.MinCoverage); unavailable != nil {
 		rf.RetryAfter = unavailable.RetryAfter
 	}
 	return rf
--- a/internal/query/forward/forward.go
+++ b/internal/query/forward/forward.go
@@ -37,6 +37,9 @@
 // Call is a message with the deadline that the caller set for it.
 type Call struct {
 	Message Message
+	// Key is the fingerprint of the customer's key in the message; zero if there is
+	// none. The headers of the message still hold the key.
+	Key contract.KeyFingerprint
 	// Caller is the caller's host, the same on all its connections; empty if unknown.
 	Caller string
 	// Deadline is how long the caller waits; 0 if it set none.
@@ -58,6 +61,10 @@
 	Message *Message
 	// Part is set if the answer is merged with those of other shards.
 	Part bool
+	// HidesKey is set if keys and names of customers in the message must not be sent, and
+	// Customer is the name to send instead; empty if there is none.
+	HidesKey bool
+	Customer string
 }
 
 // Answer is the response of one server.
@@ -125,6 +132,9 @@
 	Fleets *rcu.Value[view.Fleet]
 	// ConfirmedAt returns the time of the last confirmation by the platform.
 	ConfirmedAt func() time.Time
+	// ApplyWithin returns the time within which callers count on a change of the
+	// configuration; nil if unknown keys are always refused as unknown.
+	ApplyWithin func() time.Duration
 	Quarantine  *contract.Quarantine
 	Engine      Runner
 	Budgets     *Budgets
@@ -140,6 +150,9 @@
 	routes sync.Map
 	// starting is the outage of a process without a configuration.
 	starting outage
+	// staleKeys is the outage of requests with keys while the configuration may be out of
+	// date.
+	staleKeys overload
 }
 
 const (
@@ -162,8 +175,11 @@
 
 // run is the state of one call.
 type run struct {
-	call          Call
-	route         *contract.ForwardRoute
+	call  Call
+	route *contract.ForwardRoute
+	// customer is the one whose key the request carries; nil on open routes and if the
+	// configuration has no customers.
+	customer      *contract.Customer
 	state         *routeState
 	fleet         *view.Fleet
 	record        *CallRecord
@@ -221,6 +237,9 @@
 		return contract.NewRefusal(contract.Invalid, contract.CodeNoRoute, "no route has this host and path")
 	}
 	rn.record.Route = rn.route.Name
+	if rf := sv.checkKey(rn, tb); rf != nil {
+		return rf
+	}
 	if int64(len(rn.call.Message.Body)) > tb.Limits.BodyBytes {
 		return contract.NewRefusal(contract.Invalid, contract.CodeBodyTooLarge, "the body is longer than %d bytes", tb.Limits.BodyBytes)
 	}
@@ -267,8 +286,14 @@
 		jb.Shards[i] = scatter.Shard{Name: name, Replicas: rn.fleet.ServersOf(name), Budget: budget}
 	}
 	attempt := Attempt{
-		AttemptLimits: scatter.AttemptLimits{Deadline: rn.partsDeadline, Idempotent: rt.Idempotent, Memory: rn.call.Memory, Trail: &rn.trail},
-		Message:       &rn.call.Message, Part: len(rt.Shards) > 0,
+		AttemptLimits: scatter.AttemptLimits{
+			Deadline: rn.partsDeadline, Idempotent: rt.Idempotent, Memory: rn.call.Memory, Trail: &rn.trail,
+			MaySend: func() bool { return sv.maySend(rn) },
+		},
+		Message: &rn.call.Message, Part: len(rt.Shards) > 0, HidesKey: rn.fleet.Table.HasCustomers(),
+	}
+	if rn.customer != nil {
+		attempt.Customer = rn.customer.Name
 	}
 	jb.Message = func(*scatter.Shard, int32) Attempt { return attempt }
 	return jb
@@ -289,7 +314,7 @@
 		answer := part.Answer
 		return &Reply{Answer: &answer, Coverage: contract.Coverage{Total: 1, Answered: 1}}, nil
 	case !rs.MayHaveRun:
-		return nil, notTaken(jb, &rs, rn.route.MinCoverage, "no server of "+service+" took the request")
+		return nil, sv.notTaken(rn, jb, &rs, "no server of "+service+" took the request")
 	}
 	return nil, contract.NewRefusal(contract.Unknown, contract.CodeNoAnswer, "no server of %s answered in time", service)
 }
@@ -322,7 +347,7 @@
 	rn.record.Coverage = reply.Coverage
 	switch {
 	case reply.Coverage.Answered == 0 && !rs.MayHaveRun:
-		return nil, notTaken(jb, &rs, rn.route.MinCoverage, "no server took a part of the request")
+		return nil, sv.notTaken(rn, jb, &rs, "no server took a part of the request")
 	case reply.Coverage.Answered == 0:
 		return nil, contract.NewRefusal(contract.Unknown, contract.CodeNoAnswer, "no shard answered in time")
 	case reply.Coverage.Ratio() < rn.route.MinCoverage:
@@ -380,6 +405,8 @@
 func (sv *Service) setRetryAfter(now time.Time, rn *run, rf *contract.Refusal) {
 	switch {
 	case rf.Outcome != contract.NotRun || rf.RetryAfter > 0:
+	case rf.Code == contract.CodeStaleKeys:
+		rf.RetryAfter = sv.staleKeys.retryAfter(now, rn.call.Message.ID)
 	case rf.Code == contract.CodeStarting:
 		rf.RetryAfter = sv.starting.retryAfter(now, rn.call.Message.ID, minRetryAfterStarting)
 	case rf.Code == contract.CodeNoServer:
--- a/internal/world/contract/outcome.go
+++ b/internal/world/contract/outcome.go
@@ -118,7 +118,8 @@
 	// requests in flight.
 	CauseNoMemory Cause = "no_memory"
 	// CauseWithheld means that the attempt was not sent, because the server is
-	// leaving or asked for no requests meanwhile.
+	// leaving or asked for no requests meanwhile, or the request's key is no longer
+	// accepted.
 	CauseWithheld Cause = "withheld"
 )
 
--- a/internal/world/contract/table.go
+++ b/internal/world/contract/table.go
@@ -135,6 +135,12 @@
 	Limits   CallerLimits
 	// Routes is sorted by name.
 	Routes []*ForwardRoute
+	// Customers is sorted by name; SetCustomers sets it.
+	Customers []*Customer
+	// UnusableCustomers counts the listed customers that were left out, AmbiguousKeys the
+	// keys that are held by several customers.
+	UnusableCustomers, AmbiguousKeys int
+	customers                        customers
 	// hosts holds the routes of each host in lower case, longest prefix first.
 	hosts map[string][]*ForwardRoute
 }
