serve: decode max_header_bytes, memory_mb and max_descriptors

Cause: entry.toml has no key for the memory and the descriptors of the VM, from which the limits of callers are to derive. Change: the keys are decoded and checked. They have no effect yet.

--- a/internal/node/entryvm/config.go
+++ b/internal/node/entryvm/config.go
@@ -39,6 +39,12 @@
 	PlatformWritesPerSecond float64 `toml:"platform_writes_per_second"`
 	// MaxBodyBytes is the largest accepted request body.
 	MaxBodyBytes int64 `toml:"max_body_bytes"`
+	// MaxHeaderBytes is the largest accepted head of a request.
+	MaxHeaderBytes int `toml:"max_header_bytes"`
+	// MemoryMB is the memory of this VM in megabytes.
+	MemoryMB int `toml:"memory_mb"`
+	// MaxDescriptors is the number of file descriptors that this process may open.
+	MaxDescriptors int `toml:"max_descriptors"`
 	// ReceiptsKept is the number of recent receipts kept in memory.
 	ReceiptsKept int    `toml:"receipts_kept"`
 	LogLevel     string `toml:"log_level"`
@@ -54,6 +60,9 @@
 		PlatformReadsPerSecond:  50,
 		PlatformWritesPerSecond: 40,
 		MaxBodyBytes:            1 << 20,
+		MaxHeaderBytes:          64 << 10,
+		MemoryMB:                256,
+		MaxDescriptors:          4096,
 		ReceiptsKept:            10000,
 		LogLevel:                "info",
 		LogFormat:               "json",
@@ -86,6 +95,9 @@
 		{cg.PlatformReadsPerSecond >= 5, "platform_reads_per_second", "5 or more"},
 		{cg.PlatformWritesPerSecond >= 1, "platform_writes_per_second", "1 or more"},
 		{cg.MaxBodyBytes >= 1 && cg.MaxBodyBytes <= 64<<20, "max_body_bytes", "1 to 67108864"},
+		{cg.MaxHeaderBytes >= 1024 && cg.MaxHeaderBytes <= 1<<20, "max_header_bytes", "1024 to 1048576"},
+		{cg.MemoryMB >= 64, "memory_mb", "64 or more"},
+		{cg.MaxDescriptors >= 400, "max_descriptors", "400 or more"},
 		{cg.ReceiptsKept >= 1 && cg.ReceiptsKept <= 1000000, "receipts_kept", "1 to 1000000"},
 		{isLevel(cg.LogLevel), "log_level", `"debug", "info", "warn" or "error"`},
 		{cg.LogFormat == "json" || cg.LogFormat == "console", "log_format", `"json" or "console"`},
