Use the fourth figure of load reports in the choice of servers

Servers may report how long work takes on their machine now. A report with four fields was dropped; its first three are now used, and a sane fourth multiplies the expected latency and wait, in relation to its average, for as long as it is fresh. Nothing changes for servers that report three figures.

--- a/internal/peer/backend/exchange.go
+++ b/internal/peer/backend/exchange.go
@@ -27,6 +27,9 @@
 // wait, and the number that it can run at once.
 type Load struct {
 	Running, Waiting, Slots int
+	// Percent is how long work takes on the server's machine now, in percent of the
+	// usual; 0 if the server does not report it.
+	Percent int
 }
 
 // AnswerStatus holds the error and the load report that an answer carries
@@ -131,6 +134,7 @@
 	ex.Client.recordNotices(now, sv, ex.Codec.Notices(rs))
 	if status.Load != nil {
 		sv.State.RecordLoad(now, status.Load.Running+status.Load.Waiting)
+		sv.State.RecordPercent(now, status.Load.Percent)
 	}
 	return answer, status, nil
 }
--- a/internal/world/machine/server.go
+++ b/internal/world/machine/server.go
@@ -110,7 +110,7 @@
 const maxQueueReportAge = 200 * time.Millisecond
 
 // ExpectedWait returns how long one more part is expected to wait for a free slot, from
-// the server's last report and this process's own parts.
+// the server's last report, its slowdown and this process's own parts.
 func (sv *Server) ExpectedWait(now time.Time) time.Duration {
 	st := sv.State
 	load := st.InFlight.Load()
@@ -122,7 +122,7 @@
 	// slow; of the recent latency, a part was spent in the queue.
 	byBaseline := st.BaselineNanos.Load() * queued / slots
 	byRecent := int64(sv.RecentLatency(now)) * queued / (slots + queued)
-	return time.Duration(max(byBaseline, byRecent))
+	return st.slowedDown(now, time.Duration(max(byBaseline, byRecent)))
 }
 
 // RecentLatency returns the smoothed latency of the server, 0 if it is unknown. It
@@ -136,7 +136,7 @@
 }
 
 // ExpectedLatency returns the expected latency of one more part at the server,
-// from its smoothed latency, the load in relation to its slots, and its
+// from its smoothed latency, its slowdown, the load in relation to its slots, and its
 // failures. An old latency decays, so that a server that was slow is probed
 // again; while the probe is in flight, the server gets no other part. assumed
 // is used for a server whose latency is unknown.
@@ -155,6 +155,7 @@
 	default:
 		latency = sv.RecentLatency(now)
 	}
+	latency = st.slowedDown(now, latency)
 	load := inFlight
 	if now.UnixNano()-st.ReportedAt.Load() < int64(maxReportAge) {
 		// The report includes the load of other entry VMs, but it is old.
--- a/internal/world/machine/state.go
+++ b/internal/world/machine/state.go
@@ -105,6 +105,14 @@
 	ReportedLoad atomic.Int64
 	// ReportedAt is when ReportedLoad was set, in Unix nanoseconds.
 	ReportedAt atomic.Int64
+	// ReportedPercent is how long work took on the server's machine when it last
+	// reported that, in percent of the usual; 0 if it never did.
+	ReportedPercent atomic.Int64
+	// AveragePercent is the smoothed ReportedPercent in 1/1000 percent. It starts at 100
+	// percent.
+	AveragePercent atomic.Int64
+	// PercentAt is when ReportedPercent was set, in Unix nanoseconds.
+	PercentAt atomic.Int64
 	// PartsSent counts the parts sent to the server.
 	PartsSent atomic.Int64
 	// LatencyNanos is the smoothed latency without the network round trip, in
