Stop the use of the servers of evacuated zones

Where the contracts contain places, the watcher reads the objects evacuations/ZONE, before the others, and they spread to peers like the rest. A server in such a zone accepts no work, also for requests that began with an older fleet, and gets no health check. Objects of a kind that is not known are no longer taken for the configuration.

--- a/internal/node/events/events.go
+++ b/internal/node/events/events.go
@@ -40,6 +40,8 @@
 	ReceiptsDropped     = Event{205, "receipts_dropped", zapcore.ErrorLevel}
 	ReceiptsWriteFailed = Event{206, "receipts_write_failed", zapcore.WarnLevel}
 	ClaimsSwept         = Event{207, "claims_swept", zapcore.InfoLevel}
+	ZoneEvacuated       = Event{208, "zone_evacuated", zapcore.WarnLevel}
+	ZoneTakenBack       = Event{209, "zone_taken_back", zapcore.InfoLevel}
 
 	PeerFailed          = Event{301, "peer_failed", zapcore.WarnLevel}
 	PeerJoined          = Event{302, "peer_joined", zapcore.InfoLevel}
@@ -68,6 +70,7 @@
 	return []Event{
 		Started, Leaving, Draining, Stopped, Paused, StopCutShort, SettingsReloaded, SettingsNotReloaded,
 		WatchFailed, OlderObjectRefused, BadObjectRefused, StaleStore, ReceiptsDropped, ReceiptsWriteFailed, ClaimsSwept,
+		ZoneEvacuated, ZoneTakenBack,
 		PeerFailed, PeerJoined, PeerSilent, Isolated, Confirmed, PulledFromPeer,
 		ServerLeaving, ServerLostToRequest, Quarantined, LibraryMessage, ServerBackOff,
 		AnswerPartial, AnswerRefused, AnswerUnknown, AnswerWhole,
--- a/internal/node/forwardvm/process.go
+++ b/internal/node/forwardvm/process.go
@@ -43,6 +43,11 @@
 	// that a change missed by one is soon seen by another.
 	minWatchWait = time.Second
 	watchJitter  = time.Second
+	// A watch of the evacuations waits for minEvacuationWaitPercent plus a random part of
+	// evacuationJitterPercent of the time within which one must take effect. The rest is
+	// for a watch that fails, and for passing the change on.
+	minEvacuationWaitPercent = 40
+	evacuationJitterPercent  = 10
 	// unreachableFor is how long after a failed call an entry VM considers the
 	// platform unreachable and leaves watching to other entry VMs.
 	unreachableFor = 5 * time.Second
@@ -212,11 +217,16 @@
 		events.BadObjectRefused.Log(ps.Log, zap.String("error", entry.Problem))
 	}
 	ps.target = &fleetTarget{process: ps, codec: fe.Codec}
-	pacing := platform.WatchPacing{MaxWait: randomWatchWait, Pause: watchBatchDelay}
+	prefixes := []string{view.PrefixTable, view.PrefixFleetServers}
+	pacing := platform.WatchPacing{MaxWait: ps.watchWait, Pause: watchBatchDelay}
+	if cg.UsesWarmUp {
+		prefixes = append(prefixes, view.PrefixEvacuations)
+		pacing.Lead = view.PrefixEvacuations
+	}
 	if cg.FirstStart {
 		pacing.FirstPause = firstWatchDelay
 	}
-	ps.watcher = platform.NewWatcher(fe.Store, []string{view.PrefixTable, view.PrefixFleetServers}, ps.target, pacing, ps.Log)
+	ps.watcher = platform.NewWatcher(fe.Store, prefixes, ps.target, pacing, ps.Log)
 	ps.Cluster = &entry.Cluster{
 		Self: machine.EntryVM{
 			Name: cg.Name, Zone: cg.Zone, CallerAddress: cg.CallerAddress,
--- a/internal/node/forwardvm/state.go
+++ b/internal/node/forwardvm/state.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -32,14 +34,16 @@
 	// directly or through a peer.
 	ConfirmationAge time.Duration `json:"word_age_ns"`
 	// Version and Digest identify the local copy of the platform's objects.
-	Version      int64                        `json:"version"`
-	Digest       uint64                       `json:"digest"`
-	TableVersion int64                        `json:"table_version"`
-	Routes       []*contract.ForwardRoute     `json:"routes"`
-	EntryVMs     []machine.EntryVM            `json:"entry_vms"`
-	Servers      []ServerState                `json:"servers"`
-	Quarantines  map[uint64]contract.Crashes  `json:"quarantines"`
-	Links        map[string]backend.PoolState `json:"links"`
+	Version      int64  `json:"version"`
+	Digest       uint64 `json:"digest"`
+	TableVersion int64  `json:"table_version"`
+	// Evacuated holds the zones whose servers get no work.
+	Evacuated   []string                     `json:"evacuated_zones"`
+	Routes      []*contract.ForwardRoute     `json:"routes"`
+	EntryVMs    []machine.EntryVM            `json:"entry_vms"`
+	Servers     []ServerState                `json:"servers"`
+	Quarantines map[uint64]contract.Crashes  `json:"quarantines"`
+	Links       map[string]backend.PoolState `json:"links"`
 	// Unreadable holds the platform's entries that can't be used.
 	Unreadable []platform.UnreadableEntry `json:"unreadable"`
 }
@@ -53,9 +57,11 @@
 	ReportedLoad int64         `json:"reported_load"`
 	ExpectedWait time.Duration `json:"expected_wait_ns"`
 	Latency      time.Duration `json:"latency_ns"`
-	FailureShare int64         `json:"miss_share_per_mille"`
-	Suspect      bool          `json:"suspect"`
-	Leaves       bool          `json:"leaves"`
+	// Slowdown is the factor by which work takes longer on the machine than on average.
+	Slowdown     float64 `json:"slowdown"`
+	FailureShare int64   `json:"miss_share_per_mille"`
+	Suspect      bool    `json:"suspect"`
+	Leaves       bool    `json:"leaves"`
 	// Departing is set if the server itself said that it is leaving.
 	Departing bool `json:"departing"`
 	// BackOffUntil is until when the server asked for no requests; zero if it never
@@ -73,6 +79,7 @@
 		WatchesPlatform: ps.watcher.IsCurrent(), PlatformUnreachable: ps.isPlatformUnreachable(), ConfirmationAge: now.Sub(ps.Cluster.ConfirmedAt()),
 		Version: fl.Version, Digest: fl.Digest, EntryVMs: ps.Cluster.Members(now),
 		Quarantines: ps.Service.Quarantine.Crashes(), Links: ps.Backend.Pools(), Unreadable: ps.unreadable.Entries(),
+		Evacuated: slices.Sorted(maps.Keys(fl.Evacuated)),
 	}
 	if fl.Table != nil {
 		st.TableVersion, st.Routes = fl.Table.Version, fl.Table.Routes
@@ -81,6 +88,7 @@
 		for _, sv := range servers {
 			st.Servers = append(st.Servers, ServerState{
 				Server: sv, InFlight: sv.State.InFlight.Load(), ReportedLoad: sv.State.ReportedLoad.Load(), ExpectedWait: sv.ExpectedWait(now), Latency: time.Duration(sv.State.LatencyNanos.Load()),
+				Slowdown:     sv.State.Slowdown(now),
 				FailureShare: sv.State.FailureShare(now), Suspect: sv.State.IsSuspect(now), Leaves: sv.IsLeaving(now),
 				PartsSent: sv.State.PartsSent.Load(), Departing: sv.State.Departing.Load(), BackOffUntil: backOffUntil(sv),
 			})
@@ -124,6 +132,7 @@
 		"forward_table_version":     float64(version),
 		"forward_word_age_seconds":  now.Sub(ps.Cluster.ConfirmedAt()).Seconds(),
 		"forward_servers":           float64(len(fl.Servers)),
+		"forward_evacuated_zones":   float64(len(fl.Evacuated)),
 		"forward_entry_vms":         float64(ps.countLiveEntryVMs(now)),
 		"forward_links":             float64(open),
 		"forward_load":              float64(ps.load.Load()),
--- a/internal/node/forwardvm/upkeep.go
+++ b/internal/node/forwardvm/upkeep.go
@@ -48,11 +48,26 @@
 	if after.Digest != before.Digest {
 		ps.Cluster.TriggerRound()
 	}
+	ps.logEvacuations(before.Evacuated, after.Evacuated)
 	if after.Table != before.Table {
 		events.TableInForce.Log(ps.Log, zap.Int64("version", after.Table.Version), zap.Int("routes", len(after.Table.Routes)))
 	}
 }
 
+// logEvacuations logs the zones of which an evacuation began or ended.
+func (ps *Process) logEvacuations(before, after map[string]bool) {
+	for zone := range after {
+		if !before[zone] {
+			events.ZoneEvacuated.Log(ps.Log, zap.String("evacuated_zone", zone))
+		}
+	}
+	for zone := range before {
+		if !after[zone] {
+			events.ZoneTakenBack.Log(ps.Log, zap.String("evacuated_zone", zone))
+		}
+	}
+}
+
 // Current implements entry.Replica.
 func (ft *fleetTarget) Current() *view.Copy {
 	return &ft.process.Fleets.Load().Copy
@@ -73,8 +88,12 @@
 // directlyConfirmedAt queries the watcher.
 func (ft *fleetTarget) Confirm(time.Time) {}
 
-// randomWatchWait returns how long the next watch waits for a change.
-func randomWatchWait(string) time.Duration {
+// watchWait returns how long the next watch of a prefix waits for a change.
+func (ps *Process) watchWait(prefix string) time.Duration {
+	if prefix == view.PrefixEvacuations {
+		within := ps.settings.Load().EvacuateWithin
+		return within*minEvacuationWaitPercent/100 + rand.N(max(within*evacuationJitterPercent/100, 1))
+	}
 	return minWatchWait + rand.N(watchJitter)
 }
 
--- a/internal/peer/backend/client.go
+++ b/internal/peer/backend/client.go
@@ -303,9 +303,11 @@
 
 // respondsOnNewConn reports whether a server answers on a new connection, in
 // which case a broken connection does not mean that the server is lost. A server
-// that asked for no requests is not checked: it was alive moments ago.
+// that asked for no requests is not checked: it was alive moments ago. Nor is one
+// whose zone is evacuated: it must get nothing more, and may fail for other reasons
+// than its request.
 func (cl *Client) respondsOnNewConn(ctx context.Context, pl *pool, check healthCheck) bool {
-	if pl.server.State.IsBackingOff(time.Now()) {
+	if !mayCheckHealth(time.Now(), pl.server) {
 		return true
 	}
 	if !pl.tryReserveSlot(pl.share.Load()) {
@@ -316,6 +318,11 @@
 	return cl.checkNewConn(ctx, pl, check) == nil
 }
 
+// mayCheckHealth reports whether a health check may be sent to a server.
+func mayCheckHealth(now time.Time, sv *machine.Server) bool {
+	return !sv.State.IsBackingOff(now) && !sv.State.Evacuated.Load()
+}
+
 // isReset reports whether the peer reset a connection. A read fails with
 // ECONNRESET then, a write after the reset with EPIPE.
 func isReset(err error) bool {
@@ -394,7 +401,7 @@
 // the check fails. If the check succeeds and the older connection is still silent,
 // it cancels the request and invalidates the older connections to the server.
 func (cl *Client) checkSilent(ctx context.Context, pl *pool, cn *conn, check healthCheck, sentAt time.Time, limit time.Duration, cancelRequest context.CancelCauseFunc) {
-	if ctx.Err() != nil || !cn.IsSilent(sentAt) || pl.server.State.IsBackingOff(time.Now()) {
+	if ctx.Err() != nil || !cn.IsSilent(sentAt) || !mayCheckHealth(time.Now(), pl.server) {
 		return
 	}
 	startedAt := time.Now()
--- a/internal/peer/platform/watcher.go
+++ b/internal/peer/platform/watcher.go
@@ -30,6 +30,9 @@
 	wakeDelay = 200 * time.Millisecond
 	// vmListInterval is the mean time between two reads of the VM list.
 	vmListInterval = 2 * time.Second
+	// maxLeadFailures bounds the wait for the lead prefix, so that a platform which can't
+	// answer for one kind of object does not keep a process from starting.
+	maxLeadFailures = 3
 )
 
 // Target receives the objects and confirmations of a Watcher.
@@ -63,6 +66,9 @@
 	// then read by ListStale. The time lets many processes that start at once learn
 	// from each other which of them need to watch.
 	FirstPause time.Duration
+	// Lead, if it is not empty, is a prefix that is listed before the others when the
+	// watcher starts. After maxLeadFailures failed lists the others no longer wait.
+	Lead string
 }
 
 // Defaults returns pacing with waits short enough that the answers keep the
@@ -98,6 +104,8 @@
 	listed map[string]bool
 	// failedAt is when a call last failed; zero if one was answered since.
 	failedAt time.Time
+	// leadListed is closed when the lead prefix was listed or failed too often.
+	leadListed chan struct{}
 }
 
 // NewWatcher returns an active watcher.
@@ -105,7 +113,7 @@
 	wt := &Watcher{
 		Store: store, Prefixes: prefixes, Target: target, Pacing: pacing, Log: log,
 		confirmedAt: map[string]time.Time{}, slow: map[string]bool{}, refresh: map[string]chan struct{}{},
-		active: make(chan struct{}), listed: map[string]bool{},
+		active: make(chan struct{}), listed: map[string]bool{}, leadListed: make(chan struct{}),
 	}
 	close(wt.active)
 	for _, prefix := range prefixes {
@@ -194,6 +202,8 @@
 	from := int64(-1)
 	backoff := firstBackoff
 	isFirst := wt.Pacing.FirstPause > 0
+	endLead := wt.waitForLead(ctx, prefix)
+	failures := 0
 	for ctx.Err() == nil {
 		if wt.waitActive(ctx) {
 			from, backoff = -1, firstBackoff
@@ -210,6 +220,7 @@
 			continue
 		}
 		if err == nil {
+			endLead()
 			pause := wt.Pacing.Pause
 			if from < 0 && isFirst {
 				pause = max(pause, wt.Pacing.FirstPause)
@@ -226,6 +237,9 @@
 			events.WatchFailed.Log(wt.Log, zap.String("prefix", prefix), zap.Error(err))
 			continue
 		}
+		if failures++; failures == maxLeadFailures {
+			endLead()
+		}
 		recovered := wt.markFailed()
 		if ctx.Err() == nil {
 			events.WatchFailed.Log(wt.Log, zap.String("prefix", prefix), zap.Error(err))
@@ -235,6 +249,22 @@
 	}
 }
 
+// waitForLead waits until the lead prefix was listed. For the lead prefix itself it
+// returns at once, with the function that ends the wait of the others.
+func (wt *Watcher) waitForLead(ctx context.Context, prefix string) (end func()) {
+	switch wt.Pacing.Lead {
+	case "":
+	case prefix:
+		return sync.OnceFunc(func() { close(wt.leadListed) })
+	default:
+		select {
+		case <-wt.leadListed:
+		case <-ctx.Done():
+		}
+	}
+	return func() {}
+}
+
 // stepUnlessRefreshed runs step. If a refresh of the prefix is requested during
 // a watch, it cancels the watch and reports refreshed.
 func (wt *Watcher) stepUnlessRefreshed(ctx context.Context, prefix string, from int64, isFirst bool) (next int64, refreshed bool, err error) {
--- a/internal/peer/platform/watcher_test.go
+++ b/internal/peer/platform/watcher_test.go
@@ -217,3 +217,53 @@
 func (*countingTarget) KeysOlderThan(string, int64) []string { return nil }
 
 func (*countingTarget) Confirm(time.Time) {}
+
+// TestLeadPrefixIsListedFirst guards against a process that uses servers before it knows
+// what forbids their use, and against one that never starts because the platform can't
+// answer for that kind of object.
+func TestLeadPrefixIsListedFirst(t *testing.T) {
+	for _, fails := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			fr := &leadReader{fakeReader: fakeReader{version: 1, compacted: map[string]bool{}, lists: map[string]int{}}, fails: fails}
+			rt := &recordingTarget{versions: map[string]int64{}}
+			pacing := WatchPacing{MaxWait: func(string) time.Duration { return time.Hour }, Lead: "lead/"}
+			wt := NewWatcher(fr, []string{"config/", "servers/", "lead/"}, rt, pacing, zap.NewNop())
+			ctx, cancel := context.WithCancel(t.Context())
+			done := make(chan struct{})
+			go func() {
+				wt.Run(ctx)
+				close(done)
+			}()
+			time.Sleep(leadDelay - time.Millisecond)
+			assert.Equal(t, rt.version("servers/main"), int64(0))
+			assert.Equal(t, rt.version("config/main"), int64(0))
+			if fails {
+				time.Sleep(maxLeadFailures * (leadDelay + maxBackoff))
+			}
+			time.Sleep(2 * time.Millisecond)
+			assert.Equal(t, rt.version("servers/main"), int64(1))
+			assert.Equal(t, rt.version("config/main"), int64(1))
+			cancel()
+			<-done
+		})
+	}
+}
+
+// leadDelay is the time after which a leadReader answers for its lead prefix.
+const leadDelay = time.Second
+
+// leadReader is a fakeReader that answers late, or never, for the prefix "lead/".
+type leadReader struct {
+	fakeReader
+	fails bool
+}
+
+func (lr *leadReader) List(ctx context.Context, prefix string) ([]view.Object, int64, error) {
+	if prefix == "lead/" {
+		time.Sleep(leadDelay)
+		if lr.fails {
+			return nil, 0, ErrRateLimited
+		}
+	}
+	return lr.fakeReader.List(ctx, prefix)
+}
--- a/internal/world/machine/server.go
+++ b/internal/world/machine/server.go
@@ -77,15 +77,15 @@
 }
 
 // AcceptsWork reports whether requests may be sent to the server: it is not
-// leaving and did not ask this process to back off.
+// leaving, its zone is not evacuated, and it did not ask this process to back off.
 func (sv *Server) AcceptsWork(now time.Time) bool {
-	return !sv.IsLeaving(now) && !sv.State.IsBackingOff(now)
+	return !sv.IsLeaving(now) && !sv.State.Evacuated.Load() && !sv.State.IsBackingOff(now)
 }
 
 // AcceptsWorkAt returns the earliest time from which AcceptsWork may hold, and
-// false for a server that is leaving.
+// false for a server that is leaving or whose zone is evacuated.
 func (sv *Server) AcceptsWorkAt(now time.Time) (time.Time, bool) {
-	if sv.IsLeaving(now) {
+	if sv.IsLeaving(now) || sv.State.Evacuated.Load() {
 		return time.Time{}, false
 	}
 	if until := time.Unix(0, sv.State.BackOffUntil.Load()); until.After(now) {
--- a/internal/world/machine/state.go
+++ b/internal/world/machine/state.go
@@ -87,6 +87,9 @@
 	// server is removed since its record disappeared. Requests that began with an older
 	// view see it here.
 	Withdrawn atomic.Bool
+	// Evacuated is set while the server's zone is evacuated. Requests that began with an
+	// older view see it here.
+	Evacuated atomic.Bool
 	// BackOffUntil is until when the server asked this process for no requests, in
 	// Unix nanoseconds. It never decreases.
 	BackOffUntil atomic.Int64
--- a/internal/world/view/fleet.go
+++ b/internal/world/view/fleet.go
@@ -21,6 +21,8 @@
 	Servers map[string]*machine.Server
 	// Services holds the servers of each service, sorted by name.
 	Services map[string][]*machine.Server
+	// Evacuated holds the zones whose servers get no work. It is replaced, not changed.
+	Evacuated map[string]bool
 	// expiring holds the time at which servers whose record disappeared are
 	// removed, by name.
 	expiring map[string]time.Time
@@ -155,6 +157,7 @@
 		old.State.Withdrawn.Store(true)
 	}
 	sv.State.Withdrawn.Store(sv.Leaving)
+	sv.State.Evacuated.Store(dr.Evacuated[sv.Zone])
 	if dr.Table != nil {
 		sv = *withLimit(&sv, dr.Table)
 	}
@@ -211,6 +214,22 @@
 	dr.setFormer(now, dp.Server, formerServer{StartedAt: dp.StartedAt, State: state, RemovedAt: now})
 }
 
+// setEvacuated marks a zone as evacuated or takes the mark back. Requests that began with
+// an older fleet see it in the state of the servers.
+func (dr *draft) setEvacuated(zone string, evacuated bool) {
+	zones := cloneOrEmpty(dr.Evacuated)
+	delete(zones, zone)
+	if evacuated {
+		zones[zone] = true
+	}
+	dr.Evacuated = zones
+	for _, sv := range dr.Servers {
+		if sv.Zone == zone {
+			sv.State.Evacuated.Store(evacuated)
+		}
+	}
+}
+
 // RemoveExpired returns a fleet without the expired servers: those whose record
 // disappeared and whose removal is due.
 func (fl Fleet) RemoveExpired(now time.Time) Fleet {
@@ -254,6 +273,9 @@
 const (
 	PrefixTable        = "config/"
 	PrefixFleetServers = "servers/"
+	// PrefixEvacuations is followed by the name of a zone. The content of the objects is
+	// not read.
+	PrefixEvacuations = "evacuations/"
 )
 
 // FleetCodec decodes the objects of a fleet.
@@ -288,19 +310,34 @@
 		return err
 	}
 	dr.Copy = cp
-	name, isServer := strings.CutPrefix(ob.Key, PrefixFleetServers)
-	switch {
-	case isServer && ob.Deleted:
+	kind, name, _ := strings.Cut(ob.Key, "/")
+	switch kind + "/" {
+	case PrefixFleetServers:
+		return dr.applyServer(now, removalDelay, codec, name, ob)
+	case PrefixEvacuations:
+		dr.setEvacuated(name, !ob.Deleted)
+	case PrefixTable:
+		return dr.applyTable(codec, ob)
+	}
+	// An object of a kind that only newer versions know is passed on to peers.
+	return nil
+}
+
+func (dr *draft) applyServer(now time.Time, removalDelay time.Duration, codec FleetCodec, name string, ob Object) error {
+	if ob.Deleted {
 		dr.removeServer(now, name, ob.SeenAt.Add(removalDelay))
 		return nil
-	case isServer:
-		sv, err := codec.Server(now, name, ob.Value)
-		if err != nil {
-			return err
-		}
-		dr.setServer(sv)
-		return nil
-	case ob.Deleted:
+	}
+	sv, err := codec.Server(now, name, ob.Value)
+	if err != nil {
+		return err
+	}
+	dr.setServer(sv)
+	return nil
+}
+
+func (dr *draft) applyTable(codec FleetCodec, ob Object) error {
+	if ob.Deleted {
 		return nil
 	}
 	tb, err := codec.Table(ob.Value)
--- a/internal/world/view/fleet_test.go
+++ b/internal/world/view/fleet_test.go
@@ -294,3 +294,52 @@
 	back := mustApply(t, gone, start.Add(3*time.Second), recordObject("a", 3, planServer))
 	assert.Assert(t, back.Servers["a"].AcceptsWork(start.Add(3*time.Second)))
 }
+
+func evacuation(zone string, version int64, deleted bool) Object {
+	return Object{Key: PrefixEvacuations + zone, Version: version, Deleted: deleted, Value: "{}"}
+}
+
+// TestRunningRequestsSeeEvacuations has requests that began with an older fleet. They must
+// not use servers of an evacuated zone, and must use them again when it is taken back,
+// also if the objects arrive late or in another order.
+func TestRunningRequestsSeeEvacuations(t *testing.T) {
+	moved, restarted := planServer, planServer
+	moved.Zone, restarted.StartedAt = "b", start.Add(time.Minute)
+	tests := []struct {
+		name    string
+		objects []Object
+		// old and next are whether requests of the first and of the last fleet may use
+		// the server.
+		old, next bool
+	}{
+		{"another zone", []Object{evacuation("b", 2, false)}, true, true},
+		{"its zone", []Object{evacuation("a", 2, false)}, false, false},
+		{"content that is odd", []Object{{Key: PrefixEvacuations + "a", Version: 2, Value: "null"}}, false, false},
+		{"taken back", []Object{evacuation("a", 2, false), evacuation("a", 3, true)}, true, true},
+		{"taken back with the version of the object", []Object{evacuation("a", 2, false), evacuation("a", 2, true)}, true, true},
+		{"an older object after it was taken back", []Object{evacuation("a", 3, true), evacuation("a", 2, false)}, true, true},
+		{"twice", []Object{evacuation("a", 2, false), evacuation("a", 3, true), evacuation("a", 4, false)}, false, false},
+		{"a new record", []Object{evacuation("a", 2, false), recordObject("one", 3, planServer)}, false, false},
+		{"a restart", []Object{evacuation("a", 2, false), recordObject("one", 3, restarted)}, false, false},
+		{"a restart, then taken back", []Object{evacuation("a", 2, false), recordObject("one", 3, restarted), evacuation("a", 4, true)}, false, true},
+		{"moved out of it", []Object{evacuation("a", 2, false), recordObject("one", 3, moved)}, true, true},
+		{"moved into it", []Object{evacuation("b", 2, false), recordObject("one", 3, moved)}, false, false},
+		{"record lost and back", []Object{evacuation("a", 2, false), deletedObject("one", 3), recordObject("one", 4, planServer)}, false, false},
+		{"a kind that is not known", []Object{{Key: "places/a", Version: 2, Value: "{}"}}, true, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			old := mustApply(t, Fleet{}, start, recordObject("one", 1, planServer), Object{Key: PrefixTable + "main", Version: 1, Value: "version 5"})
+			next := old
+			for _, ob := range tt.objects {
+				// Objects that are older than those in force are refused.
+				next, _ = next.Apply(start, removalDelay, plainCodec{}, []Object{ob})
+			}
+			assert.Equal(t, old.Servers["one"].AcceptsWork(start), tt.old, "the older fleet")
+			assert.Equal(t, next.Servers["one"].AcceptsWork(start), tt.next, "the newer fleet")
+			_, ok := next.Servers["one"].AcceptsWorkAt(start)
+			assert.Equal(t, ok, tt.next, "known to accept work later")
+			assert.Equal(t, next.Table.Version, int64(5), "the configuration is unchanged")
+		})
+	}
+}
