--- a/internal/world/machine/server.go
+++ b/internal/world/machine/server.go
@@ -77,15 +77,15 @@
 }
 
 // AcceptsWork reports whether requests may be sent to the server: it is not
-// leaving and did not ask this process to back off.
+// leaving, its zone is not evacuated, and it did not ask this process to back off.
 func (sv *Server) AcceptsWork(now time.Time) bool {
-	return !sv.IsLeaving(now) && !sv.State.IsBackingOff(now)
+	return !sv.IsLeaving(now) && !sv.State.Evacuated.Load() && !sv.State.IsBackingOff(now)
 }
 
 // AcceptsWorkAt returns the earliest time from which AcceptsWork may hold, and
-// false for a server that is leaving.
+// false for a server that is leaving or whose zone is evacuated.
 func (sv *Server) AcceptsWorkAt(now time.Time) (time.Time, bool) {
-	if sv.IsLeaving(now) {
+	if sv.IsLeaving(now) || sv.State.Evacuated.Load() {
 		return time.Time{}, false
 	}
 	if until := time.Unix(0, sv.State.BackOffUntil.Load()); until.After(now) {
@@ -110,7 +110,7 @@
 const maxQueueReportAge = 200 * time.Millisecond
 
 // ExpectedWait returns how long one more part is expected to wait for a free slot, from
-// the server's last report and this process's own parts.
+// the server's last report, its slowdown and this process's own parts.
 func (sv *Server) ExpectedWait(now time.Time) time.Duration {
 	st := sv.State
 	load := st.InFlight.Load()
@@ -122,7 +122,7 @@
 	// slow; of the recent latency, a part was spent in the queue.
 	byBaseline := st.BaselineNanos.Load() * queued / slots
 	byRecent := int64(sv.RecentLatency(now)) * queued / (slots + queued)
-	return time.Duration(max(byBaseline, byRecent))
+	return st.slowedDown(now, time.Duration(max(byBaseline, byRecent)))
 }
 
 // RecentLatency returns the smoothed latency of the server, 0 if it is unknown. It
@@ -136,7 +136,7 @@
 }
 
 // ExpectedLatency returns the expected latency of one more part at the server,
-// from its smoothed latency, the load in relation to its slots, and its
+// from its smoothed latency, its slowdown, the load in relation to its slots, and its
 // failures. An old latency decays, so that a server that was slow is probed
 // again; while the probe is in flight, the server gets no other part. assumed
 // is used for a server whose latency is unknown.
@@ -155,6 +155,7 @@
 	default:
 		latency = sv.RecentLatency(now)
 	}
+	latency = st.slowedDown(now, latency)
 	load := inFlight
 	if now.UnixNano()-st.ReportedAt.Load() < int64(maxReportAge) {
 		// The report includes the load of other entry VMs, but it is old.
--- a/internal/world/machine/state.go
+++ b/internal/world/machine/state.go
@@ -87,6 +87,9 @@
 	// server is removed since its record disappeared. Requests that began with an older
 	// view see it here.
 	Withdrawn atomic.Bool
+	// Evacuated is set while the server's zone is evacuated. Requests that began with an
+	// older view see it here.
+	Evacuated atomic.Bool
 	// BackOffUntil is until when the server asked this process for no requests, in
 	// Unix nanoseconds. It never decreases.
 	BackOffUntil atomic.Int64
@@ -105,6 +108,14 @@
 	ReportedLoad atomic.Int64
 	// ReportedAt is when ReportedLoad was set, in Unix nanoseconds.
 	ReportedAt atomic.Int64
+	// ReportedPercent is how long work took on the server's machine when it last
+	// reported that, in percent of the usual; 0 if it never did.
+	ReportedPercent atomic.Int64
+	// AveragePercent is the smoothed ReportedPercent in 1/1000 percent. It starts at 100
+	// percent.
+	AveragePercent atomic.Int64
+	// PercentAt is when ReportedPercent was set, in Unix nanoseconds.
+	PercentAt atomic.Int64
 	// PartsSent counts the parts sent to the server.
 	PartsSent atomic.Int64
 	// LatencyNanos is the smoothed latency without the network round trip, in
