Refuse customers' keys while the configuration may be out of date

With strict_revoke, a VM that is cut off, frozen or restarted would accept withdrawn keys for as long as its configuration is old. Each VM now knows as of when the store confirmed its configuration, from answers to its own calls to the store and replies to its own heartbeats, counted from when the call was sent on CLOCK_BOOTTIME. From 0.7 of revoke_ms on it refuses keys with 503, is not ready and not offered; the check is repeated directly before each write. An unknown key gets 401 only if the configuration is recent.

Watches of the configuration are more frequent with strict_revoke and customers only.

--- a/internal/node/events/events.go
+++ b/internal/node/events/events.go
@@ -61,6 +61,8 @@
 	SettingAccepted = Event{601, "setting_accepted", zapcore.InfoLevel}
 	SettingRefused  = Event{602, "setting_refused", zapcore.WarnLevel}
 	TableInForce    = Event{603, "table_in_force", zapcore.InfoLevel}
+	KeysRefused     = Event{604, "keys_refused", zapcore.ErrorLevel}
+	KeysAccepted    = Event{605, "keys_accepted", zapcore.InfoLevel}
 )
 
 // All returns all events, ordered by number.
@@ -71,6 +73,6 @@
 		PeerFailed, PeerJoined, PeerSilent, Isolated, Confirmed, PulledFromPeer,
 		ServerLeaving, ServerLostToRequest, Quarantined, LibraryMessage, ServerBackOff,
 		AnswerPartial, AnswerRefused, AnswerUnknown, AnswerWhole,
-		SettingAccepted, SettingRefused, TableInForce,
+		SettingAccepted, SettingRefused, TableInForce, KeysRefused, KeysAccepted,
 	}
 }
--- a/internal/node/forwardvm/process.go
+++ b/internal/node/forwardvm/process.go
@@ -17,6 +17,7 @@
 
 	"daisystage.example/daisystage/internal/container/quota"
 	"daisystage.example/daisystage/internal/container/rcu"
+	"daisystage.example/daisystage/internal/node/bootclock"
 	"daisystage.example/daisystage/internal/node/events"
 	"daisystage.example/daisystage/internal/node/lifecycle"
 	"daisystage.example/daisystage/internal/node/metrics"
@@ -116,9 +117,11 @@
 	Cluster      *entry.Cluster
 	Fleets       *rcu.Value[view.Fleet]
 	Confirmation *view.Confirmation
-	Backend      *backend.Client
-	Metrics      *metrics.Metrics
-	Log          *zap.Logger
+	// Freshness is that of the configuration in force.
+	Freshness *view.Freshness
+	Backend   *backend.Client
+	Metrics   *metrics.Metrics
+	Log       *zap.Logger
 	// LogQueue is the queue that Log writes to; nil if there is none.
 	LogQueue *events.Queue
 
@@ -135,6 +138,8 @@
 	// carriesCallers is set while this VM is selected for the callers of any zone,
 	// or no VM is selected at all.
 	carriesCallers atomic.Bool
+	// keysWereStale is what reportStaleKeys last saw.
+	keysWereStale bool
 	// departures counts the servers that said that they are leaving, backOffs how
 	// often a server began to ask for no requests; backOffLogs limits the log lines
 	// about the latter, and lostLogs those about servers lost to requests.
@@ -156,6 +161,7 @@
 		settings:     rcu.New(cg),
 		Fleets:       rcu.New(view.Fleet{}),
 		Confirmation: &view.Confirmation{},
+		Freshness:    &view.Freshness{},
 		Log:          log.With(zap.String("entry_vm", cg.Name), zap.String("zone", cg.Zone)),
 		LogQueue:     queue,
 		startedAt:    now,
@@ -212,11 +218,12 @@
 		events.BadObjectRefused.Log(ps.Log, zap.String("error", entry.Problem))
 	}
 	ps.target = &fleetTarget{process: ps, codec: fe.Codec}
-	pacing := platform.WatchPacing{MaxWait: randomWatchWait, Pause: watchBatchDelay}
+	pacing := platform.WatchPacing{MaxWait: ps.watchWait, KeepsHistory: ps.isStrictTable, Pause: watchBatchDelay}
 	if cg.FirstStart {
 		pacing.FirstPause = firstWatchDelay
 	}
 	ps.watcher = platform.NewWatcher(fe.Store, []string{view.PrefixTable, view.PrefixFleetServers}, ps.target, pacing, ps.Log)
+	ps.watcher.OnCall = ps.onStoreCall
 	ps.Cluster = &entry.Cluster{
 		Self: machine.EntryVM{
 			Name: cg.Name, Zone: cg.Zone, CallerAddress: cg.CallerAddress,
@@ -227,11 +234,14 @@
 		Seeds: cg.Peers, Transport: transport, Replica: ps.target, Confirmation: ps.Confirmation, Quarantine: quarantine,
 		PlatformDown: ps.isPlatformUnreachable, DirectlyConfirmedAt: ps.directlyConfirmedAt, FollowsPeers: ps.followsPeers, Log: ps.Log,
 		OnDeparture: ps.onPeerDeparture,
+		Table: &entry.TableFreshness{
+			Freshness: ps.Freshness, SinceBoot: bootclock.Now, TableVersion: ps.tableVersion, KeysStale: ps.keysAreStale,
+		},
 	}
 	ps.Cluster.Init()
 	ps.Service = &forward.Service{
 		Fleets: ps.Fleets, ConfirmedAt: ps.Cluster.ConfirmedAt, Quarantine: quarantine,
-		ApplyWithin: func() time.Duration { return ps.settings.Load().ApplyWithin },
+		Freshness: ps.Freshness, SinceBoot: bootclock.Now, KeyBounds: ps.keyBounds,
 		Engine: &scatter.Engine[scatter.LeastExpectedLatency, scatter.GoalHedge, scatter.StartWithRoom, forward.Attempt, forward.Answer]{
 			Sender: fe.NewSender(ps.Backend, ps.Fleets), Zone: zone.Zone{Name: cg.Zone, DefaultDelay: defaultZoneDelay},
 			Quarantine: quarantine, OnServerLost: ps.onServerLost,
@@ -341,9 +351,10 @@
 	ps.group.Run(ps.watcher.Run, ps.Cluster.Run, ps.runUpkeep)
 }
 
-// IsReady reports whether this process can serve callers and is not stopping.
+// IsReady reports whether this process can serve callers, accepts their keys and is not
+// stopping.
 func (ps *Process) IsReady(time.Time) bool {
-	return !ps.leaving.Load() && ps.Service.IsReady()
+	return !ps.leaving.Load() && ps.Service.IsReady() && !ps.keysAreStale()
 }
 
 // BodyLimit returns the largest body that callers may send, in bytes.
@@ -369,11 +380,12 @@
 	ps.settings.Update(func(old Config) Config {
 		old.Peers, old.Retries, old.DirectoryTTL, old.MaxDirectoryTTL = cg.Peers, cg.Retries, cg.DirectoryTTL, cg.MaxDirectoryTTL
 		old.DrainFor, old.ApplyWithin, old.StopWithin = cg.DrainFor, cg.ApplyWithin, cg.StopWithin
+		old.RevokeWithin = cg.RevokeWithin
 		return old
 	})
 	ps.Cluster.SetSeeds(cg.Peers)
 	events.SettingsReloaded.Log(ps.Log, zap.Duration("stop_within", cg.StopWithin), zap.Duration("drain_for", cg.DrainFor),
-		zap.Float64("retry_ratio", cg.Retries.Ratio), zap.Float64("retry_slack", cg.Retries.Slack))
+		zap.Duration("revoke_within", cg.RevokeWithin), zap.Float64("retry_ratio", cg.Retries.Ratio), zap.Float64("retry_slack", cg.Retries.Slack))
 }
 
 // EntryVMAddresses returns the addresses that a caller in the zone from may
--- a/internal/node/forwardvm/state.go
+++ b/internal/node/forwardvm/state.go
@@ -7,11 +7,13 @@
 
 	"go.uber.org/zap"
 
+	"daisystage.example/daisystage/internal/node/bootclock"
 	"daisystage.example/daisystage/internal/node/events"
 	"daisystage.example/daisystage/internal/peer/backend"
 	"daisystage.example/daisystage/internal/peer/platform"
 	"daisystage.example/daisystage/internal/world/contract"
 	"daisystage.example/daisystage/internal/world/machine"
+	"daisystage.example/daisystage/internal/world/view"
 )
 
 // State is a dump of the process: its view of the site, with the age and version
@@ -31,15 +33,21 @@
 	// ConfirmationAge is the time since the platform last confirmed the view,
 	// directly or through a peer.
 	ConfirmationAge time.Duration `json:"word_age_ns"`
+	// TableAge is how long ago the configuration in force was certainly the newest one;
+	// nil if that was never known. KeysStale is set while keys are refused for its age.
+	TableAge  *time.Duration `json:"table_age_ns"`
+	KeysStale bool           `json:"keys_stale"`
 	// Version and Digest identify the local copy of the platform's objects.
-	Version      int64                        `json:"version"`
-	Digest       uint64                       `json:"digest"`
-	TableVersion int64                        `json:"table_version"`
-	Routes       []*contract.ForwardRoute     `json:"routes"`
-	EntryVMs     []machine.EntryVM            `json:"entry_vms"`
-	Servers      []ServerState                `json:"servers"`
-	Quarantines  map[uint64]contract.Crashes  `json:"quarantines"`
-	Links        map[string]backend.PoolState `json:"links"`
+	Version      int64  `json:"version"`
+	Digest       uint64 `json:"digest"`
+	TableVersion int64  `json:"table_version"`
+	// Customers holds the customers in force, without their keys.
+	Customers   []*contract.Customer         `json:"customers"`
+	Routes      []*contract.ForwardRoute     `json:"routes"`
+	EntryVMs    []machine.EntryVM            `json:"entry_vms"`
+	Servers     []ServerState                `json:"servers"`
+	Quarantines map[uint64]contract.Crashes  `json:"quarantines"`
+	Links       map[string]backend.PoolState `json:"links"`
 	// Unreadable holds the platform's entries that can't be used.
 	Unreadable []platform.UnreadableEntry `json:"unreadable"`
 }
@@ -75,8 +83,12 @@
 		Quarantines: ps.Service.Quarantine.Crashes(), Links: ps.Backend.Pools(), Unreadable: ps.unreadable.Entries(),
 	}
 	if fl.Table != nil {
-		st.TableVersion, st.Routes = fl.Table.Version, fl.Table.Routes
+		st.TableVersion, st.Routes, st.Customers = fl.Table.Version, fl.Table.Routes, fl.Table.Customers
 	}
+	if age := ps.Freshness.AsOf().Age(bootclock.Now()); age != view.NeverConfirmed {
+		st.TableAge = &age
+	}
+	st.KeysStale = ps.keysAreStale()
 	for _, servers := range fl.Services {
 		for _, sv := range servers {
 			st.Servers = append(st.Servers, ServerState{
@@ -123,6 +135,8 @@
 	ps.Metrics.SetGauges(map[string]float64{
 		"forward_table_version":     float64(version),
 		"forward_word_age_seconds":  now.Sub(ps.Cluster.ConfirmedAt()).Seconds(),
+		"forward_table_age_seconds": ps.Freshness.AsOf().Age(bootclock.Now()).Seconds(),
+		"forward_keys_stale":        boolGauge(ps.keysAreStale()),
 		"forward_servers":           float64(len(fl.Servers)),
 		"forward_entry_vms":         float64(ps.countLiveEntryVMs(now)),
 		"forward_links":             float64(open),
@@ -136,6 +150,14 @@
 	})
 }
 
+// boolGauge returns 1 for true and 0 for false.
+func boolGauge(value bool) float64 {
+	if value {
+		return 1
+	}
+	return 0
+}
+
 func (ps *Process) droppedLines() int64 {
 	if ps.LogQueue == nil {
 		return 0
--- a/internal/node/forwardvm/upkeep.go
+++ b/internal/node/forwardvm/upkeep.go
@@ -4,13 +4,13 @@
 	"context"
 	"errors"
 	"math"
-	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
 
 	"go.uber.org/zap"
 
+	"daisystage.example/daisystage/internal/node/bootclock"
 	"daisystage.example/daisystage/internal/node/events"
 	"daisystage.example/daisystage/internal/peer/backend"
 	"daisystage.example/daisystage/internal/world/machine"
@@ -75,11 +75,6 @@
 // directlyConfirmedAt queries the watcher.
 func (ft *fleetTarget) Confirm(time.Time) {}
 
-// randomWatchWait returns how long the next watch waits for a change.
-func randomWatchWait(string) time.Duration {
-	return minWatchWait + rand.N(watchJitter)
-}
-
 // directlyConfirmedAt returns when the platform last confirmed the fleet to
 // this process directly: now while all prefixes are listed and watched, else
 // the zero time.
@@ -112,6 +107,9 @@
 	if slices.ContainsFunc(machine.Watchers(now, members), isSelf) {
 		return true
 	}
+	if ps.lacksFreshTable(bootclock.Now()) {
+		return !ps.isPlatformUnreachable() || ps.isTurn(now, members)
+	}
 	maxAge := min(ps.settings.Load().ApplyWithin, ps.settings.Load().DrainFor) * peerWaitPercent / 100
 	asOf := ps.Confirmation.AsOf()
 	if ps.Config.FirstStart && asOf.Before(ps.startedAt) {
@@ -121,8 +119,14 @@
 	if now.Sub(asOf) <= maxAge {
 		return false
 	}
+	return !ps.isPlatformUnreachable() || ps.isTurn(now, members)
+}
+
+// isTurn reports whether it is this process's turn among the members to try an
+// unreachable platform.
+func (ps *Process) isTurn(now time.Time, members []machine.EntryVM) bool {
 	turn := int(now.UnixNano()/int64(retryTurn)) % len(members)
-	return !ps.isPlatformUnreachable() || isSelf(members[turn])
+	return members[turn].Name == ps.Config.Name
 }
 
 // runUpkeep keeps shares, budgets and connections up to date until the context
@@ -148,6 +152,7 @@
 		ps.Fleets.Update(func(fl view.Fleet) view.Fleet { return fl.RemoveExpired(now) })
 	}
 	ps.watcher.SetActive(ps.mustWatchPlatform(now))
+	ps.reportStaleKeys()
 	ps.Service.PublishLatencies()
 	if !full {
 		return
--- a/internal/peer/backend/conn.go
+++ b/internal/peer/backend/conn.go
@@ -17,6 +17,7 @@
 	"daisystage.example/daisystage/internal/container/quota"
 	"daisystage.example/daisystage/internal/query/scatter"
 	"daisystage.example/daisystage/internal/wire/backendapi"
+	"daisystage.example/daisystage/internal/world/contract"
 	"daisystage.example/daisystage/internal/world/link"
 )
 
@@ -76,6 +77,8 @@
 	readable int64
 	// memory bounds the bodies of the answers of one request; nil sets no bound.
 	memory *quota.Lease
+	// maySend reports whether the request may be written; nil permits it.
+	maySend func() bool
 	// api is the client of the native protocol; nil until first used.
 	api *backendapi.Client
 }
@@ -181,6 +184,10 @@
 	if err := rq.Write(buffer); err != nil {
 		return nil, fmt.Errorf("encode request: %w", err)
 	}
+	// Nothing that takes time may come between this check and the write.
+	if cn.maySend != nil && !cn.maySend() {
+		return nil, &contract.PartError{Cause: contract.CauseWithheld, NotRun: true}
+	}
 	if buffer.Len() <= smallRequestSize {
 		if _, err := cn.raw.Write(buffer.Bytes()); err != nil {
 			return nil, fmt.Errorf("send request: %w", err)
--- a/internal/peer/backend/exchange.go
+++ b/internal/peer/backend/exchange.go
@@ -93,8 +93,8 @@
 		return none, &contract.PartError{Cause: contract.CauseServerError, NotRun: true, Err: err}
 	}
 	limits := message.Limits()
-	cn.memory = limits.Memory
-	defer func() { cn.memory = nil }()
+	cn.memory, cn.maySend = limits.Memory, limits.MaySend
+	defer func() { cn.memory, cn.maySend = nil, nil }()
 	rs, err := cn.Do(rq)
 	for skipped := 0; ; skipped++ {
 		switch {
--- a/internal/peer/entry/cluster.go
+++ b/internal/peer/entry/cluster.go
@@ -113,7 +113,9 @@
 	Quarantine          *contract.Quarantine
 	// PlatformDown reports whether this process's own calls are unanswered.
 	PlatformDown func() bool
-	Log          *zap.Logger
+	// Table tells how recent the configuration in force is; nil if that is not tracked.
+	Table *TableFreshness
+	Log   *zap.Logger
 	// Load returns the number of parts that this process sends per second; it
 	// may be nil.
 	Load func() uint32
@@ -185,6 +187,9 @@
 	if cr.Load != nil {
 		vm.Load = cr.Load()
 	}
+	if cr.Table != nil {
+		vm.KeysStale = cr.Table.KeysStale()
+	}
 	return vm
 }
 
@@ -269,7 +274,7 @@
 func (cr *Cluster) exchange(ctx context.Context, address string) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	sentAt := time.Now()
+	sentAt, sentSinceBoot := time.Now(), cr.sinceBoot()
 	reply, err := cr.Transport.Exchange(ctx, address, cr.Heartbeat(sentAt, cr.zoneOf(address)))
 	if err != nil {
 		if ctx.Err() == nil {
@@ -282,7 +287,10 @@
 		return
 	}
 	cr.mergeHeartbeat(sentAt, reply)
+	cr.confirmTable(sentSinceBoot, reply)
 	cr.handleReply(ctx, sentAt, address, reply)
+	// handleReply may have pulled the peer's configuration.
+	cr.confirmTable(sentSinceBoot, reply)
 }
 
 // zoneOf returns the zone of the member with an entry address; empty if it is not
--- a/internal/peer/entry/heartbeat.go
+++ b/internal/peer/entry/heartbeat.go
@@ -56,6 +56,7 @@
 		Version:      cp.Version,
 		Digest:       cp.Digest,
 	}
+	hb.TableVersion, hb.TableConfirmedMs = cr.confirmedTable()
 	hb.Members = sampleMembers(now, *cr.members.Load())
 	for _, vm := range cr.newsFor(now, zone) {
 		if !slices.ContainsFunc(hb.Members, func(mb *entrypb.Member) bool { return mb.Name == vm.Name }) {
@@ -219,7 +220,7 @@
 	return &entrypb.Member{
 		Name: vm.Name, Zone: vm.Zone, CallerAddress: vm.CallerAddress, OperatorAddress: vm.OperatorAddress,
 		EntryAddress: vm.EntryAddress, Incarnation: vm.Incarnation, Leaving: vm.Leaving, HeardMs: ageMillis(now, vm.LastHeartbeat),
-		Capacity: vm.Capacity, Load: vm.Load, Version: vm.Version, Digest: vm.Digest,
+		Capacity: vm.Capacity, Load: vm.Load, Version: vm.Version, Digest: vm.Digest, KeysStale: vm.KeysStale,
 	}
 }
 
@@ -228,6 +229,6 @@
 		Name: mb.GetName(), Zone: mb.GetZone(), CallerAddress: mb.GetCallerAddress(), OperatorAddress: mb.GetOperatorAddress(),
 		EntryAddress: mb.GetEntryAddress(), Incarnation: mb.GetIncarnation(), Leaving: mb.GetLeaving(),
 		LastHeartbeat: now.Add(-time.Duration(mb.GetHeardMs()) * time.Millisecond),
-		Capacity:      mb.GetCapacity(), Load: mb.GetLoad(), Version: mb.GetVersion(), Digest: mb.GetDigest(),
+		Capacity:      mb.GetCapacity(), Load: mb.GetLoad(), Version: mb.GetVersion(), Digest: mb.GetDigest(), KeysStale: mb.GetKeysStale(),
 	}
 }
--- a/internal/peer/platform/watcher.go
+++ b/internal/peer/platform/watcher.go
@@ -59,6 +59,10 @@
 	// Pause is the time between an answer and the next watch, so that changes in
 	// quick succession arrive in one answer.
 	Pause time.Duration
+	// KeepsHistory reports whether a watch of a prefix that brought no change is followed
+	// by one from the same version, so that a change that the watch missed is found by the
+	// next one, or its loss noticed; nil if none is.
+	KeepsHistory func(prefix string) bool
 	// FirstPause, if it is not 0, replaces the pause after the first list, which is
 	// then read by ListStale. The time lets many processes that start at once learn
 	// from each other which of them need to watch.
@@ -79,10 +83,17 @@
 	Target   Target
 	Pacing   WatchPacing
 	Log      *zap.Logger
+	// OnCall is called before a call for a prefix is sent that the platform answers from
+	// its newest state. The function that it returns is called when the answer has been
+	// applied, unless the platform is known to have had a newer state before the call.
+	// Both may be nil.
+	OnCall func(prefix string) (answered func(version int64))
 
 	lock sync.Mutex
 	// confirmedAt is when the last answered call for each prefix was sent.
 	confirmedAt map[string]time.Time
+	// newest is the highest version in an answer for each prefix.
+	newest map[string]int64
 	// slow holds whether the last watch of a prefix was answered late.
 	slow map[string]bool
 	// recovered is closed when a call is answered after a failure; it is nil if
@@ -104,7 +115,7 @@
 func NewWatcher(store Reader, prefixes []string, target Target, pacing WatchPacing, log *zap.Logger) *Watcher {
 	wt := &Watcher{
 		Store: store, Prefixes: prefixes, Target: target, Pacing: pacing, Log: log,
-		confirmedAt: map[string]time.Time{}, slow: map[string]bool{}, refresh: map[string]chan struct{}{},
+		confirmedAt: map[string]time.Time{}, newest: map[string]int64{}, slow: map[string]bool{}, refresh: map[string]chan struct{}{},
 		active: make(chan struct{}), listed: map[string]bool{},
 	}
 	close(wt.active)
@@ -314,7 +325,7 @@
 // step lists the prefix if from is negative, else it watches once. It returns
 // the version from which the next watch continues.
 func (wt *Watcher) step(ctx context.Context, prefix string, from int64) (int64, error) {
-	startedAt := time.Now()
+	startedAt, answered := time.Now(), wt.beginCall(prefix)
 	if from < 0 {
 		objects, version, err := wt.Store.List(ctx, prefix)
 		if err != nil {
@@ -322,6 +333,7 @@
 		}
 		wt.Target.Apply(time.Now(), append(objects, wt.deletionsOf(prefix, objects, version)...))
 		wt.confirm(prefix, startedAt)
+		answered(version)
 		return version, nil
 	}
 	wait := wt.Pacing.MaxWait(prefix)
@@ -339,9 +351,31 @@
 	}
 	wt.Target.Apply(time.Now(), objects)
 	wt.confirm(prefix, startedAt)
+	answered(next)
+	if len(objects) == 0 && wt.Pacing.KeepsHistory != nil && wt.Pacing.KeepsHistory(prefix) && time.Since(startedAt) >= wait {
+		return from, nil
+	}
 	return next, nil
 }
 
+// beginCall returns a function to call with the version of the answer to a call that is
+// now sent, when it has been applied.
+func (wt *Watcher) beginCall(prefix string) func(version int64) {
+	var done func(version int64)
+	if wt.OnCall != nil {
+		done = wt.OnCall(prefix)
+	}
+	return func(version int64) {
+		wt.lock.Lock()
+		isStale := version < wt.newest[prefix]
+		wt.newest[prefix] = max(wt.newest[prefix], version)
+		wt.lock.Unlock()
+		if done != nil && !isStale {
+			done(version)
+		}
+	}
+}
+
 // deletionsOf returns a deletion for each known object that a list at a version
 // lacks.
 func (wt *Watcher) deletionsOf(prefix string, listed []view.Object, version int64) []view.Object {
--- a/internal/query/forward/forward.go
+++ b/internal/query/forward/forward.go
@@ -132,13 +132,16 @@
 	Fleets *rcu.Value[view.Fleet]
 	// ConfirmedAt returns the time of the last confirmation by the platform.
 	ConfirmedAt func() time.Time
-	// ApplyWithin returns the time within which callers count on a change of the
-	// configuration; nil if unknown keys are always refused as unknown.
-	ApplyWithin func() time.Duration
-	Quarantine  *contract.Quarantine
-	Engine      Runner
-	Budgets     *Budgets
-	Observer    Observer
+	// Freshness is that of the configuration in force, SinceBoot reads its clock, and
+	// KeyBounds returns the bounds on it. They are used only if the configuration has
+	// customers.
+	Freshness  *view.Freshness
+	SinceBoot  func() time.Duration
+	KeyBounds  func() view.KeyBounds
+	Quarantine *contract.Quarantine
+	Engine     Runner
+	Budgets    *Budgets
+	Observer   Observer
 	// Memory is shared by the bodies of all calls and answers in flight.
 	Memory *quota.Pool
 	// AttemptsSent counts the attempts sent; the owner resets it.
@@ -179,8 +182,10 @@
 	route *contract.ForwardRoute
 	// customer is the one whose key the request carries; nil on open routes and if the
 	// configuration has no customers.
-	customer      *contract.Customer
-	state         *routeState
+	customer *contract.Customer
+	state    *routeState
+	// keysAsOf is the confirmation of the configuration, read before fleet.
+	keysAsOf      view.AsOf
 	fleet         *view.Fleet
 	record        *CallRecord
 	started       time.Time
@@ -191,7 +196,8 @@
 
 // Run answers one call. Its error is a *contract.Refusal.
 func (sv *Service) Run(ctx context.Context, now time.Time, cl Call) (*Reply, error) {
-	rn := &run{call: cl, fleet: sv.Fleets.Load(), started: now, record: &CallRecord{ID: cl.Message.ID, RoundTrip: cl.RoundTrip}}
+	rn := &run{call: cl, started: now, record: &CallRecord{ID: cl.Message.ID, RoundTrip: cl.RoundTrip}}
+	rn.keysAsOf, rn.fleet = sv.keysAndFleet()
 	reply, err := sv.answer(ctx, now, rn)
 	sv.finish(time.Now(), rn, reply, err)
 	return reply, err
--- a/internal/query/forward/forward_test.go
+++ b/internal/query/forward/forward_test.go
@@ -45,6 +45,9 @@
 	ro.all = append(ro.all, record)
 }
 
+// bootTime is the reading of the clock of the configuration's age in these tests.
+const bootTime = 100 * time.Hour
+
 func newService(t *testing.T, fe *fakeEngine) (*Service, *recordingObserver) {
 	t.Helper()
 	routes := []*contract.ForwardRoute{
@@ -65,6 +68,7 @@
 	}
 	ro := &recordingObserver{}
 	return &Service{
+		Freshness: &view.Freshness{}, SinceBoot: func() time.Duration { return bootTime }, KeyBounds: func() view.KeyBounds { return view.KeyBounds{} },
 		Fleets: rcu.New(fl), ConfirmedAt: time.Now, Quarantine: contract.NewQuarantine(),
 		Engine: fe, Budgets: NewBudgets(time.Now(), contract.RetryBudget{Window: 10 * time.Second}, 1), Observer: ro,
 	}, ro
--- a/internal/query/forward/key.go
+++ b/internal/query/forward/key.go
@@ -4,13 +4,18 @@
 	"time"
 
 	"daisystage.example/daisystage/internal/world/contract"
+	"daisystage.example/daisystage/internal/world/view"
 )
 
-// unknownKeyPercent is the age of the configuration, in percent of ApplyWithin, up to
-// which an unknown key is refused as unknown. Callers use a key from ApplyWithin after its
-// configuration was acknowledged on, so that a younger configuration has it; the rest is
-// for the drift of clocks.
-const unknownKeyPercent = 90
+// keysAndFleet returns the confirmation of the configuration and the fleet, in the order
+// in which they must be read.
+func (sv *Service) keysAndFleet() (view.AsOf, *view.Fleet) {
+	asOf := view.AsOf(0)
+	if sv.Freshness != nil {
+		asOf = sv.Freshness.AsOf()
+	}
+	return asOf, sv.Fleets.Load()
+}
 
 // checkKey finds the customer of a request in a table, and returns a refusal if the
 // request needs a key and has none that is valid.
@@ -21,41 +26,55 @@
 	if rn.call.Key == (contract.KeyFingerprint{}) {
 		return contract.NewRefusal(contract.Invalid, contract.CodeUnknownKey, "the request has no well-formed key")
 	}
+	age, bounds := rn.keysAsOf.Age(sv.SinceBoot()), sv.KeyBounds()
+	if rf := staleKeys(age, bounds); rf != nil {
+		return rf
+	}
 	rn.customer = tb.CustomerOf(rn.call.Key)
-	if rn.customer == nil {
-		return sv.unknownKey(rn.record.Age)
+	switch {
+	case rn.customer != nil:
+		return nil
+	case !bounds.IsUnknown(age):
+		return newStaleKeys(age, "the configuration may be too old to know the key")
+	}
+	return contract.NewRefusal(contract.Invalid, contract.CodeUnknownKey, "no customer has the key of the request")
+}
+
+// staleKeys returns a refusal if keys must not be accepted by a configuration of an age.
+func staleKeys(age time.Duration, bounds view.KeyBounds) *contract.Refusal {
+	if bounds.MayAccept(age) {
+		return nil
 	}
-	return nil
+	return newStaleKeys(age, "the configuration may be too old to know that the key was withdrawn")
 }
 
-// unknownKey returns the refusal of a request whose key the configuration lacks. Unless
-// the configuration was confirmed recently, it may lack the key because it is out of date.
-func (sv *Service) unknownKey(age time.Duration) *contract.Refusal {
-	if sv.ApplyWithin != nil && age > sv.ApplyWithin()*unknownKeyPercent/100 {
-		return contract.NewRefusal(contract.NotRun, contract.CodeStaleKeys,
-			"the key is unknown, but the configuration was last confirmed %s ago", age)
+func newStaleKeys(age time.Duration, reason string) *contract.Refusal {
+	if age == view.NeverConfirmed {
+		return contract.NewRefusal(contract.NotRun, contract.CodeStaleKeys, "%s: the store never confirmed it", reason)
 	}
-	return contract.NewRefusal(contract.Invalid, contract.CodeUnknownKey, "no customer has the key of the request")
+	return contract.NewRefusal(contract.NotRun, contract.CodeStaleKeys, "%s: the store confirmed it %s ago", reason, age)
 }
 
 // recheckKey checks a request that was planned before with the table that is now in
 // force. It returns a refusal if the request may no longer be sent. The run is shared by
 // attempts and not changed.
 func (sv *Service) recheckKey(rn *run) *contract.Refusal {
-	tb := sv.Fleets.Load().Table
-	if tb == nil || tb == rn.fleet.Table {
+	asOf, fl := sv.keysAndFleet()
+	tb := fl.Table
+	if tb == nil || !tb.HasCustomers() {
 		return nil
 	}
-	switch {
-	case rn.customer != nil && tb.HasCustomers():
-		if cu := tb.CustomerOf(rn.call.Key); cu == nil || cu.Name != rn.customer.Name {
-			return contract.NewRefusal(contract.NotRun, contract.CodeUnknownKey, "the key was withdrawn before the request was sent")
+	if rn.customer == nil {
+		if tb != rn.fleet.Table && !rn.fleet.Table.HasCustomers() {
+			// The request was planned without regard to keys.
+			return contract.NewRefusal(contract.NotRun, contract.CodeStaleKeys, "the configuration got customers before the request was sent")
 		}
-	case rn.customer == nil && tb.HasCustomers() && !rn.fleet.Table.HasCustomers():
-		// The request was planned without regard to keys.
-		return contract.NewRefusal(contract.NotRun, contract.CodeStaleKeys, "the configuration got customers before the request was sent")
+		return nil
+	}
+	if cu := tb.CustomerOf(rn.call.Key); cu == nil || cu.Name != rn.customer.Name {
+		return contract.NewRefusal(contract.NotRun, contract.CodeUnknownKey, "the key was withdrawn before the request was sent")
 	}
-	return nil
+	return staleKeys(asOf.Age(sv.SinceBoot()), sv.KeyBounds())
 }
 
 // maySend reports whether an attempt at a request may be sent at this moment.
--- a/internal/query/forward/key_test.go
+++ b/internal/query/forward/key_test.go
@@ -47,6 +47,7 @@
 		name, key string
 		customers []string
 		age       time.Duration
+		revoke    time.Duration
 		code      contract.Code
 	}{
 		{name: "no customers", key: "a"},
@@ -56,14 +57,18 @@
 		{name: "unknown, configuration of 5 s ago", key: "c", customers: []string{"a"}, age: 5 * time.Second, code: contract.CodeStaleKeys},
 		{name: "missing, configuration of 5 s ago", customers: []string{"a"}, age: 5 * time.Second, code: contract.CodeUnknownKey},
 		{name: "known, configuration of 5 s ago", key: "a", customers: []string{"a"}, age: 5 * time.Second},
+		{name: "strict, configuration of 3.5 s ago", key: "a", customers: []string{"a"}, age: 3500 * time.Millisecond, revoke: 5 * time.Second},
+		{name: "strict, configuration of 3.6 s ago", key: "a", customers: []string{"a"}, age: 3600 * time.Millisecond, revoke: 5 * time.Second, code: contract.CodeStaleKeys},
+		{name: "strict, unknown, configuration of 3.6 s ago", key: "c", customers: []string{"a"}, age: 3600 * time.Millisecond, revoke: 5 * time.Second, code: contract.CodeStaleKeys},
+		{name: "strict, no customers, configuration of an hour ago", key: "a", age: time.Hour, revoke: 5 * time.Second},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			fe := &fakeEngine{mayHaveRun: true, answer: func(shard string) scatter.PartResult[Answer] { return answeredPart(shard, "") }}
 			sv, _ := newService(t, fe)
 			now := time.Now()
-			sv.ConfirmedAt = func() time.Time { return now.Add(-tt.age) }
-			sv.ApplyWithin = func() time.Duration { return 5 * time.Second }
+			sv.Freshness.ConfirmByStore(bootTime - tt.age)
+			sv.KeyBounds = func() view.KeyBounds { return view.KeyBounds{ApplyWithin: 5 * time.Second, RevokeWithin: tt.revoke} }
 			withCustomers(sv, tt.customers...)
 			_, err := sv.Run(t.Context(), now, callWithKey(tt.key))
 			assert.Equal(t, codeOf(err), tt.code)
@@ -103,6 +108,7 @@
 				return scatter.PartResult[Answer]{Record: contract.PartRecord{Cause: contract.CauseWithheld}}
 			}}
 			sv, _ := newService(t, fe)
+			sv.Freshness.ConfirmByStore(bootTime)
 			withCustomers(sv, tt.before...)
 			maySend := true
 			run := fe.answer
@@ -121,3 +127,24 @@
 		})
 	}
 }
+
+// TestStaleKeysAtSend has the configuration grow too old while a request waits for a
+// connection, or while the VM is frozen. It guards against a retry, a hedge or a late part
+// that is sent although its key may have been withdrawn.
+func TestStaleKeysAtSend(t *testing.T) {
+	fe := &fakeEngine{mayHaveRun: true, answer: func(shard string) scatter.PartResult[Answer] { return answeredPart(shard, "") }}
+	sv, _ := newService(t, fe)
+	now := bootTime
+	sv.SinceBoot = func() time.Duration { return now }
+	sv.KeyBounds = func() view.KeyBounds { return view.KeyBounds{RevokeWithin: 5 * time.Second} }
+	withCustomers(sv, "a")
+	sv.Freshness.ConfirmByStore(now)
+	_, err := sv.Run(t.Context(), time.Now(), callWithKey("a"))
+	assert.NilError(t, err)
+	attempt := fe.job.Message(&fe.job.Shards[0], 1)
+	assert.Assert(t, attempt.MaySend())
+	now += 3600 * time.Millisecond
+	assert.Assert(t, !attempt.MaySend())
+	sv.Freshness.ConfirmByStore(now - time.Second)
+	assert.Assert(t, attempt.MaySend(), "confirmed again")
+}
--- a/internal/query/scatter/scatter.go
+++ b/internal/query/scatter/scatter.go
@@ -57,8 +57,9 @@
 	// apart: none is sent on a connection on which another was rejected. Nil if the
 	// answers name the attempt.
 	Trail *link.Trail
-	// MaySend reports whether the attempt may be sent at this moment. It is called right
-	// before the attempt is written, since attempts wait for connections; nil permits all.
+	// MaySend reports whether the attempt may be sent at this moment. It is called when
+	// the attempt has a connection, and once more right before it is written, since an
+	// attempt may wait for either; nil permits all.
 	MaySend func() bool
 }
 
--- a/internal/world/machine/entryvm.go
+++ b/internal/world/machine/entryvm.go
@@ -43,6 +43,9 @@
 	Load     uint32 `json:"load"`
 	// Digest is the digest of all objects that the VM has applied.
 	Digest uint64 `json:"digest"`
+	// KeysStale is set while the VM refuses requests with customers' keys, since its
+	// configuration may be out of date.
+	KeysStale bool `json:"keys_stale,omitempty"`
 }
 
 // IsLive reports whether the last heartbeat is no older than PeerTimeout.
@@ -50,10 +53,10 @@
 	return now.Sub(vm.LastHeartbeat) <= PeerTimeout
 }
 
-// IsReady reports whether the VM may serve callers: it is live, not leaving and
-// has settings.
+// IsReady reports whether the VM may serve callers: it is live, not leaving, has
+// settings and accepts their keys.
 func (vm EntryVM) IsReady(now time.Time) bool {
-	return !vm.Leaving && vm.Version > 0 && vm.IsLive(now)
+	return !vm.Leaving && !vm.KeysStale && vm.Version > 0 && vm.IsLive(now)
 }
 
 // Merge merges two records of one VM. The record of the higher incarnation
--- a/internal/world/view/fleet.go
+++ b/internal/world/view/fleet.go
@@ -17,6 +17,8 @@
 	Copy
 	// Table is nil until a table has been applied. Its version never decreases.
 	Table *contract.Table
+	// TableRevision is the highest version in the store of an object under PrefixTable.
+	TableRevision int64
 	// Servers holds all servers by name.
 	Servers map[string]*machine.Server
 	// Services holds the servers of each service, sorted by name.
@@ -300,6 +302,9 @@
 		}
 		dr.setServer(sv)
 		return nil
+	}
+	dr.TableRevision = max(dr.TableRevision, ob.Version)
+	switch {
 	case ob.Deleted:
 		return nil
 	}
