--- a/internal/node/forwardvm/upkeep.go
+++ b/internal/node/forwardvm/upkeep.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"daisystage.example/daisystage/internal/node/bootclock"
 	"daisystage.example/daisystage/internal/node/events"
 	"daisystage.example/daisystage/internal/node/lifecycle"
 	"daisystage.example/daisystage/internal/peer/backend"
@@ -93,11 +94,15 @@
 
 // watchWait returns how long the next watch of a prefix waits for a change.
 func (ps *Process) watchWait(prefix string) time.Duration {
+	cg := ps.settings.Load()
 	if prefix == view.PrefixEvacuations {
-		within := ps.settings.Load().EvacuateWithin
-		return within*minEvacuationWaitPercent/100 + rand.N(max(within*evacuationJitterPercent/100, 1))
+		return cg.EvacuateWithin*minEvacuationWaitPercent/100 + rand.N(max(cg.EvacuateWithin*evacuationJitterPercent/100, 1))
 	}
-	return minWatchWait + rand.N(watchJitter)
+	wait := minWatchWait + rand.N(watchJitter)
+	if ps.isStrictTable(prefix) {
+		wait = min(wait, cg.RevokeWithin*strictWaitPercent/100)
+	}
+	return wait
 }
 
 // directlyConfirmedAt returns when the platform last confirmed the fleet to
@@ -132,6 +137,9 @@
 	if slices.ContainsFunc(machine.Watchers(now, members), isSelf) {
 		return true
 	}
+	if ps.lacksFreshTable(bootclock.Now()) {
+		return !ps.isPlatformUnreachable() || ps.isTurn(now, members)
+	}
 	maxAge := min(ps.settings.Load().ApplyWithin, ps.settings.Load().DrainFor) * peerWaitPercent / 100
 	asOf := ps.Confirmation.AsOf()
 	if ps.Config.FirstStart && asOf.Before(ps.startedAt) {
@@ -141,8 +149,14 @@
 	if now.Sub(asOf) <= maxAge {
 		return false
 	}
+	return !ps.isPlatformUnreachable() || ps.isTurn(now, members)
+}
+
+// isTurn reports whether it is this process's turn among the members to try an
+// unreachable platform.
+func (ps *Process) isTurn(now time.Time, members []machine.EntryVM) bool {
 	turn := int(now.UnixNano()/int64(retryTurn)) % len(members)
-	return !ps.isPlatformUnreachable() || isSelf(members[turn])
+	return members[turn].Name == ps.Config.Name
 }
 
 // runUpkeep keeps shares, budgets and connections up to date until the context
@@ -172,6 +186,7 @@
 		ps.Fleets.Update(func(fl view.Fleet) view.Fleet { return fl.RemoveExpired(now) })
 	}
 	ps.watcher.SetActive(ps.mustWatchPlatform(now))
+	ps.reportStaleKeys()
 	ps.Service.PublishLatencies()
 	if !full {
 		return
--- a/internal/world/view/fleet.go
+++ b/internal/world/view/fleet.go
@@ -17,6 +17,8 @@
 	Copy
 	// Table is nil until a table has been applied. Its version never decreases.
 	Table *contract.Table
+	// TableRevision is the highest version in the store of an object under PrefixTable.
+	TableRevision int64
 	// Servers holds all servers by name.
 	Servers map[string]*machine.Server
 	// Services holds the servers of each service, sorted by name.
@@ -337,6 +339,7 @@
 }
 
 func (dr *draft) applyTable(codec FleetCodec, ob Object) error {
+	dr.TableRevision = max(dr.TableRevision, ob.Version)
 	if ob.Deleted {
 		return nil
 	}
