--- a/internal/node/forwardvm/keys.go
+++ b/internal/node/forwardvm/keys.go
@@ -88,12 +88,7 @@
 	}
 	sentAt := bootclock.Now()
 	known := ps.Fleets.Load().TableRevision
-	return func(version int64) {
-		// An answer from before a change that a peer told is that of a stale store.
-		if version >= known {
-			ps.Freshness.ConfirmByStore(sentAt)
-		}
-	}
+	return func(version int64) { ps.Freshness.ConfirmByStore(sentAt, version, known) }
 }
 
 // reportStaleKeys logs when requests with keys begin and cease to be refused, and tells
--- a/internal/node/forwardvm/process.go
+++ b/internal/node/forwardvm/process.go
@@ -235,7 +235,7 @@
 		PlatformDown: ps.isPlatformUnreachable, DirectlyConfirmedAt: ps.directlyConfirmedAt, FollowsPeers: ps.followsPeers, Log: ps.Log,
 		OnDeparture: ps.onPeerDeparture,
 		Table: &entry.TableFreshness{
-			Freshness: ps.Freshness, SinceBoot: bootclock.Now, TableVersion: ps.tableVersion, KeysStale: ps.keysAreStale,
+			Freshness: ps.Freshness, SinceBoot: bootclock.Now, TableVersion: ps.tableVersion, IsStrict: ps.isStrict, KeysStale: ps.keysAreStale,
 		},
 	}
 	ps.Cluster.Init()
--- a/internal/peer/entry/freshness.go
+++ b/internal/peer/entry/freshness.go
@@ -14,6 +14,9 @@
 	// configuration in force, 0 if there is none.
 	SinceBoot    func() time.Duration
 	TableVersion func() int64
+	// IsStrict reports whether keys are refused while the configuration may be out of
+	// date; a newer one that a peer has is pulled at once then.
+	IsStrict func() bool
 	// KeysStale reports whether this process refuses customers' keys.
 	KeysStale func() bool
 }
@@ -51,3 +54,9 @@
 	}
 	cr.Table.ConfirmByPeer(sentAt, cr.Table.TableVersion(), reply.TableVersion, time.Duration(reply.TableConfirmedMs)*time.Millisecond)
 }
+
+// hasNewerTable reports whether a peer has a newer configuration that is to be pulled at
+// once.
+func (cr *Cluster) hasNewerTable(reply *entrypb.Heartbeat) bool {
+	return cr.Table != nil && cr.Table.IsStrict() && reply.TableVersion > cr.Table.TableVersion()
+}
--- a/internal/peer/entry/sync.go
+++ b/internal/peer/entry/sync.go
@@ -46,7 +46,7 @@
 // this process's own watch will probably resolve within a round does not.
 func (cr *Cluster) shouldPull(now time.Time, reply *entrypb.Heartbeat) bool {
 	mb := (*cr.members.Load())[reply.GetSender().GetName()]
-	return cr.isFollower() || mb.Mismatches > 0 || now.Sub(cr.Confirmation.AsOf()) > watchLag
+	return cr.isFollower() || cr.hasNewerTable(reply) || mb.Mismatches > 0 || now.Sub(cr.Confirmation.AsOf()) > watchLag
 }
 
 // pull fetches the objects that a peer has and this process lacks, and reports
--- a/internal/query/forward/key_test.go
+++ b/internal/query/forward/key_test.go
@@ -67,7 +67,7 @@
 			fe := &fakeEngine{mayHaveRun: true, answer: func(shard string) scatter.PartResult[Answer] { return answeredPart(shard, "") }}
 			sv, _ := newService(t, fe)
 			now := time.Now()
-			sv.Freshness.ConfirmByStore(bootTime - tt.age)
+			sv.Freshness.ConfirmByStore(bootTime - tt.age, 1, 1)
 			sv.KeyBounds = func() view.KeyBounds { return view.KeyBounds{ApplyWithin: 5 * time.Second, RevokeWithin: tt.revoke} }
 			withCustomers(sv, tt.customers...)
 			_, err := sv.Run(t.Context(), now, callWithKey(tt.key))
@@ -108,7 +108,7 @@
 				return scatter.PartResult[Answer]{Record: contract.PartRecord{Cause: contract.CauseWithheld}}
 			}}
 			sv, _ := newService(t, fe)
-			sv.Freshness.ConfirmByStore(bootTime)
+			sv.Freshness.ConfirmByStore(bootTime, 1, 1)
 			withCustomers(sv, tt.before...)
 			maySend := true
 			run := fe.answer
@@ -138,13 +138,13 @@
 	sv.SinceBoot = func() time.Duration { return now }
 	sv.KeyBounds = func() view.KeyBounds { return view.KeyBounds{RevokeWithin: 5 * time.Second} }
 	withCustomers(sv, "a")
-	sv.Freshness.ConfirmByStore(now)
+	sv.Freshness.ConfirmByStore(now, 1, 1)
 	_, err := sv.Run(t.Context(), time.Now(), callWithKey("a"))
 	assert.NilError(t, err)
 	attempt := fe.job.Message(&fe.job.Shards[0], 1)
 	assert.Assert(t, attempt.MaySend())
 	now += 3600 * time.Millisecond
 	assert.Assert(t, !attempt.MaySend())
-	sv.Freshness.ConfirmByStore(now - time.Second)
+	sv.Freshness.ConfirmByStore(now - time.Second, 1, 1)
 	assert.Assert(t, attempt.MaySend(), "confirmed again")
 }
--- a/internal/world/view/freshness.go
+++ b/internal/world/view/freshness.go
@@ -26,9 +26,13 @@
 }
 
 // ConfirmByStore records that the store answered a call of this VM that was sent at
-// sentAt, and that all it told is in force.
-func (fr *Freshness) ConfirmByStore(sentAt time.Duration) {
-	raise(&fr.confirmed, sentAt)
+// sentAt, and that all it told is in force. answered is the store's version in the answer,
+// known the highest version of a configuration that this VM knew when it sent the call: an
+// answer from before that is the one of a store that lags behind.
+func (fr *Freshness) ConfirmByStore(sentAt time.Duration, answered, known int64) {
+	if answered >= known {
+		raise(&fr.confirmed, sentAt)
+	}
 }
 
 // ConfirmByPeer records that a peer replied to a call of this VM that was sent at sentAt:
