--- a/internal/peer/entry/freshness_test.go
+++ b/internal/peer/entry/freshness_test.go
@@ -222,3 +222,40 @@
 		assert.Equal(t, kw.vms[0].cluster.Table.AsOf().Age(kw.now), view.NeverConfirmed)
 	}
 }
+
+// TestStaleKeysReachDirectories guards against a directory that offers a VM which refuses
+// keys, or leaves it out for good after it accepts them again.
+func TestStaleKeysReachDirectories(t *testing.T) {
+	mm, all := newClusters(3)
+	stale := false
+	for at, cr := range all {
+		cr.Table = &TableFreshness{
+			Freshness: &view.Freshness{}, SinceBoot: func() time.Duration { return time.Hour }, TableVersion: func() int64 { return 1 },
+			IsStrict: func() bool { return true }, KeysStale: func() bool { return at == 1 && stale },
+		}
+	}
+	isStaleAt := func(cr *Cluster) bool {
+		for _, vm := range cr.Members(time.Now()) {
+			if vm.Name == all[1].Self.Name {
+				return vm.KeysStale
+			}
+		}
+		return false
+	}
+	for _, stale = range []bool{false, true, false} {
+		for range 2 {
+			all[1].round(t.Context())
+			// all[2] learns of all[1] from all[0] only.
+			mm.lock.Lock()
+			mm.unreachable[all[1].Self.EntryAddress] = true
+			mm.lock.Unlock()
+			all[2].round(t.Context())
+			mm.lock.Lock()
+			delete(mm.unreachable, all[1].Self.EntryAddress)
+			mm.lock.Unlock()
+		}
+		for _, cr := range all {
+			assert.Equal(t, isStaleAt(cr), stale, cr.Self.Name)
+		}
+	}
+}
--- a/internal/peer/platform/watcher_test.go
+++ b/internal/peer/platform/watcher_test.go
@@ -217,3 +217,92 @@
 func (*countingTarget) KeysOlderThan(string, int64) []string { return nil }
 
 func (*countingTarget) Confirm(time.Time) {}
+
+// forgetfulReader is a Reader with one object whose waiting watches miss changes, and
+// answer with the version of the platform nevertheless.
+type forgetfulReader struct {
+	lock sync.Mutex
+	// version is that of the platform, changedAt that of the last change of the object.
+	version, changedAt int64
+}
+
+func (fr *forgetfulReader) List(_ context.Context, prefix string) ([]view.Object, int64, error) {
+	fr.lock.Lock()
+	defer fr.lock.Unlock()
+	return []view.Object{{Key: prefix + "main", Version: fr.changedAt}}, fr.version, nil
+}
+
+func (fr *forgetfulReader) Watch(_ context.Context, prefix string, from int64, wait time.Duration) ([]view.Object, int64, error) {
+	fr.lock.Lock()
+	version, changedAt := fr.version, fr.changedAt
+	fr.lock.Unlock()
+	if changedAt > from {
+		return []view.Object{{Key: prefix + "main", Version: changedAt}}, version, nil
+	}
+	time.Sleep(wait)
+	fr.lock.Lock()
+	defer fr.lock.Unlock()
+	return nil, fr.version, nil
+}
+
+// TestMissedChangeIsFoundByNextWatch guards against a confirmation of objects that lack a
+// change that a waiting watch missed: each answered call must confirm no more than the
+// objects that were applied had when it was sent.
+func TestMissedChangeIsFoundByNextWatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fr := &forgetfulReader{version: 1, changedAt: 1}
+		rt := &recordingTarget{versions: map[string]int64{}}
+		pacing := WatchPacing{
+			MaxWait:      func(string) time.Duration { return 300 * time.Millisecond },
+			KeepsHistory: func(string) bool { return true },
+		}
+		wt := NewWatcher(fr, []string{"config/"}, rt, pacing, zap.NewNop())
+		answers := 0
+		wt.OnCall = func(prefix string) func(int64) {
+			fr.lock.Lock()
+			sent := fr.changedAt
+			fr.lock.Unlock()
+			return func(int64) {
+				answers++
+				if have := rt.version(prefix + "main"); have < sent {
+					t.Errorf("confirms version %d as of a time at which there was version %d", have, sent)
+				}
+			}
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			wt.Run(ctx)
+			close(done)
+		}()
+		for range 5 {
+			time.Sleep(450 * time.Millisecond)
+			fr.lock.Lock()
+			fr.version += 2
+			fr.changedAt = fr.version - 1
+			fr.lock.Unlock()
+		}
+		time.Sleep(time.Second)
+		assert.Equal(t, rt.version("config/main"), fr.changedAt)
+		assert.Assert(t, answers > 5)
+		cancel()
+		<-done
+	})
+}
+
+// TestAnswerOfLaggingStoreIsNotPassedOn guards against a list from a replica of the
+// platform that lags behind and counts as its newest state.
+func TestAnswerOfLaggingStoreIsNotPassedOn(t *testing.T) {
+	runWatcher(t, func(fr *fakeReader, _ *recordingTarget, wt *Watcher) {
+		var passedOn atomic.Int64
+		wt.lock.Lock()
+		wt.OnCall = func(string) func(int64) { return func(version int64) { passedOn.Store(version) } }
+		wt.lock.Unlock()
+		for _, step := range []struct{ version, want int64 }{{7, 7}, {6, 7}, {8, 8}} {
+			fr.set(func() { fr.version = step.version })
+			wt.Refresh("config/")
+			time.Sleep(time.Second)
+			assert.Equal(t, passedOn.Load(), step.want)
+		}
+	})
+}
--- a/internal/world/machine/selection_test.go
+++ b/internal/world/machine/selection_test.go
@@ -12,7 +12,7 @@
 
 // newVM returns a live and ready entry VM. Flags change it: with "-" it sent no
 // heartbeat for a minute, with "!" it is leaving, with "0" it has no settings, with
-// "p" it does not reach the platform.
+// "p" it does not reach the platform, with "k" it refuses keys.
 func newVM(name, zone, flags string) EntryVM {
 	vm := EntryVM{Name: name, Zone: zone, CallerAddress: name + ":1", LastHeartbeat: now, Version: 1}
 	for _, flag := range flags {
@@ -25,6 +25,8 @@
 			vm.Version = 0
 		case 'p':
 			vm.PlatformUnreachable = true
+		case 'k':
+			vm.KeysStale = true
 		}
 	}
 	return vm
@@ -48,6 +50,8 @@
 		{"too few ready in own zone", []EntryVM{newVM("a1", "a", ""), newVM("a2", "a", "-"), newVM("b1", "b", "")}, "a1 b1 "},
 		{"leaving VMs are not selected", []EntryVM{newVM("a1", "a", "!"), newVM("a2", "a", "!"), newVM("b1", "b", ""), newVM("c1", "c", "")}, "b1 c1 "},
 		{"live VMs if none is ready", []EntryVM{newVM("a1", "a", "!"), newVM("b1", "b", "0"), newVM("c1", "c", "-")}, "a1 b1 "},
+		{"VMs that refuse keys are not selected", []EntryVM{newVM("a1", "a", "k"), newVM("a2", "a", ""), newVM("b1", "b", "")}, "a2 b1 "},
+		{"all refuse keys", []EntryVM{newVM("a1", "a", "k"), newVM("b1", "b", "k"), newVM("c1", "c", "-")}, "a1 b1 "},
 		{"no VM in own zone", []EntryVM{newVM("b1", "b", ""), newVM("a1", "x", "")}, "a1 b1 "},
 		{"no VMs", nil, ""},
 	}
