Send no part too late once the minimum coverage is reached

TestOverloadOfManyShards failed since the servers of the short shards were busy with parts whose answers were dropped: of about 890 parts sent to such a server in two seconds, 70 to 117 were canceled while they ran, and 42 to 67 in its queue. A postponed part for which no server could answer in time any more was sent up to the in-flight limits, as to a slow server. Now it is not sent once the answered parts reach the minimum coverage, since the answer goes out at PartialAfter.

With that alone the servers were idle for a fifth of the time: a VM that saw a long queue held its parts back for the 200 ms in which a report counts, while the queue drained within 70 ms, and got no newer report meanwhile. A reported queue now counts less the older the report is, linearly to 0 at 200 ms.

--- a/internal/query/scatter/start.go
+++ b/internal/query/scatter/start.go
@@ -186,6 +186,11 @@
 	}
 	ga.candidates = preferred(ga.candidates, isInTime)
 	if !isInTime(ga.candidates[0]) {
+		if ga.answered >= ga.needed {
+			// The answer goes out at PartialAfter: a later part would only take a slot
+			// from parts that can be in time.
+			return nil
+		}
 		left, required = ga.job.Deadline.Sub(now), true
 	} else if slices.ContainsFunc(ga.candidates, func(sv *machine.Server) bool { return ga.engine.Starts.MayStart(now, sv, left, false) }) {
 		// There is no overload: all replicas are choices, so that slow ones are tried
--- a/internal/world/machine/server.go
+++ b/internal/world/machine/server.go
@@ -110,12 +110,14 @@
 const maxQueueReportAge = 200 * time.Millisecond
 
 // ExpectedWait returns how long one more part is expected to wait for a free slot, from
-// the server's last report and this process's own parts.
+// the server's last report and this process's own parts. The reported queue counts less
+// the older the report is: it drains while this process holds its parts back, which
+// bring no newer report then.
 func (sv *Server) ExpectedWait(now time.Time) time.Duration {
 	st := sv.State
 	load := st.InFlight.Load()
-	if now.UnixNano()-st.ReportedAt.Load() < int64(maxQueueReportAge) {
-		load = max(load, st.ReportedLoad.Load())
+	if left := int64(maxQueueReportAge) - (now.UnixNano() - st.ReportedAt.Load()); left > 0 {
+		load = max(load, st.ReportedLoad.Load()*left/int64(maxQueueReportAge))
 	}
 	slots, queued := int64(sv.Slots), max(load+1-int64(sv.Slots), 0)
 	// The baseline is that of a server without a queue, but not of one that became
--- a/internal/world/machine/server_test.go
+++ b/internal/world/machine/server_test.go
@@ -25,6 +25,8 @@
 		{"a free slot", 1, 1, 0, 0, 0},
 		{"all slots in use", 2, 0, 0, 0, usual / 2},
 		{"others use the slots", 0, 5, 0, 0, 2 * usual},
+		{"half of the others' requests have ended", 0, 5, maxQueueReportAge / 2, 0, usual / 2},
+		{"the own parts count whatever the age", 4, 5, maxQueueReportAge / 2, 0, 3 * usual / 2},
 		{"others used the slots a while ago", 0, 5, maxQueueReportAge, 0, 0},
 		{"the server became slow", 0, 3, 0, 10 * usual, 5 * usual},
 	}
