Limit the requests to cold servers over all entry VMs

The rate is chosen such that leases, tokens in hand and the burst keep within the bounds of a second. Parts without a token go elsewhere, wait, or are given up as without room. A broken connection is checked by connecting only.

--- a/internal/node/forwardvm/process.go
+++ b/internal/node/forwardvm/process.go
@@ -111,6 +111,9 @@
 	CallerHandler    func(ps *Process) http.Handler
 	ReadyHandler     func(ps *Process) http.Handler
 	DirectoryHandler func(ps *Process) http.Handler
+	// SharedRates are the rates that the entry VMs share; nil if there are none. Without
+	// them, cold servers are not limited.
+	SharedRates machine.SharedRates
 }
 
 // Process is the running process of one entry VM. Create it with Start.
@@ -129,8 +132,10 @@
 
 	// unreadable collects the platform's entries that can't be used.
 	unreadable *platform.Unreadable
-	target     *fleetTarget
-	watcher    *platform.Watcher
+	// cold limits the requests to cold servers; nil if nothing does.
+	cold    *machine.ColdLimit
+	target  *fleetTarget
+	watcher *platform.Watcher
 	// settings is the configuration in force, with the changes of reloads.
 	settings  *rcu.Value[Config]
 	startedAt time.Time
@@ -204,6 +209,10 @@
 	ps.Backend, endBackend = backend.New(dial)
 	ps.group.Cleanup(endBackend)
 	ps.Backend.SetEntryVMs(assumedEntryVMs)
+	if cg.UsesWarmUp && fe.SharedRates != nil {
+		ps.cold = &machine.ColdLimit{Rates: fe.SharedRates, Bounds: func() contract.WarmUpBounds { return ps.settings.Load().WarmUp }}
+	}
+	ps.Backend.Cold = ps.cold
 	ps.Backend.OnDeparture, ps.Backend.OnBackOff = ps.onDeparture, ps.onBackOff
 	var endMetrics func()
 	ps.Metrics, endMetrics = metrics.New(cg.Name, cg.Zone)
@@ -243,7 +252,7 @@
 		Fleets: ps.Fleets, ConfirmedAt: ps.Cluster.ConfirmedAt, Quarantine: quarantine,
 		Engine: &scatter.Engine[scatter.LeastExpectedLatency, scatter.GoalHedge, scatter.StartWithRoom, forward.Attempt, forward.Answer]{
 			Sender: fe.NewSender(ps.Backend, ps.Fleets), Zone: zone.Zone{Name: cg.Zone, DefaultDelay: defaultZoneDelay},
-			Quarantine: quarantine, OnServerLost: ps.onServerLost,
+			Quarantine: quarantine, OnServerLost: ps.onServerLost, Cold: ps.cold,
 		},
 		Memory:   quota.NewPool(cg.MessageMemory()),
 		Budgets:  forward.NewBudgets(now, cg.Retries, len(cg.Peers)+1),
@@ -378,6 +387,7 @@
 	ps.settings.Update(func(old Config) Config {
 		old.Peers, old.Retries, old.DirectoryTTL, old.MaxDirectoryTTL = cg.Peers, cg.Retries, cg.DirectoryTTL, cg.MaxDirectoryTTL
 		old.DrainFor, old.ApplyWithin, old.StopWithin = cg.DrainFor, cg.ApplyWithin, cg.StopWithin
+		old.WarmUp, old.EvacuateWithin = cg.WarmUp, cg.EvacuateWithin
 		return old
 	})
 	ps.Cluster.SetSeeds(cg.Peers)
--- a/internal/node/forwardvm/state.go
+++ b/internal/node/forwardvm/state.go
@@ -5,6 +5,7 @@
 	"maps"
 	"net/http"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -67,7 +68,9 @@
 	// BackOffUntil is until when the server asked for no requests; zero if it never
 	// did.
 	BackOffUntil time.Time `json:"back_off_until,omitzero"`
-	PartsSent    int64     `json:"runs"`
+	// ColdUntil is until when the server is cold, by its record and its answers.
+	ColdUntil time.Time `json:"cold_until,omitzero"`
+	PartsSent int64     `json:"runs"`
 }
 
 // State returns a dump of the process. It takes no lock that requests wait for.
@@ -90,15 +93,17 @@
 				Server: sv, InFlight: sv.State.InFlight.Load(), ReportedLoad: sv.State.ReportedLoad.Load(), ExpectedWait: sv.ExpectedWait(now), Latency: time.Duration(sv.State.LatencyNanos.Load()),
 				Slowdown:     sv.State.Slowdown(now),
 				FailureShare: sv.State.FailureShare(now), Suspect: sv.State.IsSuspect(now), Leaves: sv.IsLeaving(now),
-				PartsSent: sv.State.PartsSent.Load(), Departing: sv.State.Departing.Load(), BackOffUntil: backOffUntil(sv),
+				PartsSent: sv.State.PartsSent.Load(), Departing: sv.State.Departing.Load(), BackOffUntil: timeOf(&sv.State.BackOffUntil),
+				ColdUntil: timeOf(&sv.State.ColdUntil),
 			})
 		}
 	}
 	return st
 }
 
-func backOffUntil(sv *machine.Server) time.Time {
-	if nanos := sv.State.BackOffUntil.Load(); nanos != 0 {
+// timeOf returns a time in Unix nanoseconds, the zero time for 0.
+func timeOf(value *atomic.Int64) time.Time {
+	if nanos := value.Load(); nanos != 0 {
 		return time.Unix(0, nanos)
 	}
 	return time.Time{}
@@ -124,6 +129,7 @@
 	if fl.Table != nil {
 		version = fl.Table.Version
 	}
+	cold, withheld := ps.countCold(now)
 	open := int64(0)
 	for _, pl := range ps.Backend.Pools() {
 		open += pl.Open
@@ -132,6 +138,8 @@
 		"forward_table_version":     float64(version),
 		"forward_word_age_seconds":  now.Sub(ps.Cluster.ConfirmedAt()).Seconds(),
 		"forward_servers":           float64(len(fl.Servers)),
+		"forward_cold_servers":      float64(cold),
+		"forward_cold_withheld":     float64(withheld),
 		"forward_evacuated_zones":   float64(len(fl.Evacuated)),
 		"forward_entry_vms":         float64(ps.countLiveEntryVMs(now)),
 		"forward_links":             float64(open),
@@ -145,6 +153,20 @@
 	})
 }
 
+// countCold returns the number of servers that are limited because they are cold, and
+// that of the sends for which they had no token.
+func (ps *Process) countCold(now time.Time) (servers, withheld int64) {
+	if ps.cold == nil {
+		return 0, 0
+	}
+	for _, sv := range ps.Fleets.Load().Servers {
+		if ps.cold.Limits(now, sv) {
+			servers++
+		}
+	}
+	return servers, ps.cold.Withheld.Load()
+}
+
 func (ps *Process) droppedLines() int64 {
 	if ps.LogQueue == nil {
 		return 0
--- a/internal/peer/backend/client.go
+++ b/internal/peer/backend/client.go
@@ -79,6 +79,9 @@
 	// request, and may be nil.
 	OnDeparture func(now time.Time, sv *machine.Server)
 	OnBackOff   func(now time.Time, sv *machine.Server, delay time.Duration)
+	// Cold limits the requests to cold servers; nil if nothing does. It is set before the
+	// first request.
+	Cold *machine.ColdLimit
 }
 
 // New returns a client and a function that closes its connections.
@@ -213,6 +216,10 @@
 		pl.release(now, cn)
 		return &contract.PartError{Cause: contract.CauseWithheld, NotRun: true}
 	}
+	if !scatter.HoldsToken(ctx, now) && !cl.Cold.TrySend(now, sv) {
+		pl.release(now, cn)
+		return &contract.PartError{Cause: contract.CauseWithheld, NotRun: true}
+	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	if limits.Idempotent && limits.FirstByteTimeout > 0 {
@@ -299,6 +306,13 @@
 	if nt.BackOff > 0 && sv.State.BackOff(now, nt.BackOff) && cl.OnBackOff != nil {
 		cl.OnBackOff(now, sv, nt.BackOff)
 	}
+	if nt.SaysWarmUp {
+		until := time.Time{}
+		if nt.WarmUp > 0 {
+			until = now.Add(nt.WarmUp)
+		}
+		sv.State.RecordCold(until)
+	}
 }
 
 // respondsOnNewConn reports whether a server answers on a new connection, in
@@ -307,7 +321,12 @@
 // whose zone is evacuated: it must get nothing more, and may fail for other reasons
 // than its request.
 func (cl *Client) respondsOnNewConn(ctx context.Context, pl *pool, check healthCheck) bool {
-	if !mayCheckHealth(time.Now(), pl.server) {
+	now := time.Now()
+	if cl.Cold.Limits(now, pl.server) {
+		// A health check is one more request to a server that bears few.
+		return pl.acceptsConnections(ctx, now)
+	}
+	if !mayCheckHealth(now, pl.server) {
 		return true
 	}
 	if !pl.tryReserveSlot(pl.share.Load()) {
@@ -401,7 +420,7 @@
 // the check fails. If the check succeeds and the older connection is still silent,
 // it cancels the request and invalidates the older connections to the server.
 func (cl *Client) checkSilent(ctx context.Context, pl *pool, cn *conn, check healthCheck, sentAt time.Time, limit time.Duration, cancelRequest context.CancelCauseFunc) {
-	if ctx.Err() != nil || !cn.IsSilent(sentAt) || !mayCheckHealth(time.Now(), pl.server) {
+	if ctx.Err() != nil || !cn.IsSilent(sentAt) || !mayCheckHealth(time.Now(), pl.server) || cl.Cold.Limits(time.Now(), pl.server) {
 		return
 	}
 	startedAt := time.Now()
--- a/internal/peer/backend/exchange.go
+++ b/internal/peer/backend/exchange.go
@@ -52,6 +52,10 @@
 	// BackOff is how long the server wants no requests from this process; 0 if it
 	// did not say.
 	BackOff time.Duration
+	// SaysWarmUp is set if the server says how long it stays cold, WarmUp; 0 if it is
+	// not cold.
+	SaysWarmUp bool
+	WarmUp     time.Duration
 }
 
 // Codec encodes messages as HTTP requests and decodes responses. Retries,
--- a/internal/query/scatter/canary.go
+++ b/internal/query/scatter/canary.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"daisystage.example/daisystage/internal/world/contract"
+	"daisystage.example/daisystage/internal/world/machine"
 )
 
 // passCanary makes sure that a request which may crash servers is first sent to one
@@ -44,7 +45,7 @@
 func (ga *gather[R, H, S, M, A]) runCanary(ctx context.Context, now time.Time) bool {
 	index := ga.canaryPart(now)
 	first := &ga.parts[index]
-	ga.startPart(ctx, now, index, ga.chooseReplica(now, first, ""))
+	ga.startPart(ctx, now, index, ga.chooseWithToken(now, func() *machine.Server { return ga.chooseReplica(now, first, "") }))
 	if ga.job.Settings.Canary == contract.CanaryBrief {
 		ga.canaryUntil = now.Add(max(ga.job.Latency.Recent().P50, minHedgeDelay))
 	}
--- a/internal/query/scatter/engine.go
+++ b/internal/query/scatter/engine.go
@@ -137,6 +137,8 @@
 	// fingerprint, unless that server was already recorded for the fingerprint; it
 	// may be nil.
 	OnServerLost func(now time.Time, fingerprint uint64, server string)
+	// Cold limits the requests to cold servers; nil if nothing does.
+	Cold *machine.ColdLimit
 }
 
 // Run sends the job to its shards and returns when all parts are answered or
--- a/internal/query/scatter/gather.go
+++ b/internal/query/scatter/gather.go
@@ -244,15 +244,20 @@
 	return ga.engine.Replicas.Choose(now, ga.engine.Zone, ga.candidates, avoid)
 }
 
-// mayChoose reports whether a server accepts work and may have the data.
+// mayChoose reports whether a server accepts work, also if it is cold, and may have the
+// data.
 func (ga *gather[R, H, S, M, A]) mayChoose(now time.Time, sv *machine.Server) bool {
-	return sv.AcceptsWork(now) && (ga.job.MayHaveData == nil || ga.job.MayHaveData(now, sv))
+	return sv.AcceptsWork(now) && ga.engine.Cold.MaySend(now, sv) && (ga.job.MayHaveData == nil || ga.job.MayHaveData(now, sv))
 }
 
-// sendAttempt starts an attempt at a part in its own goroutine.
+// sendAttempt starts an attempt at a part in its own goroutine. The caller has taken the
+// token for it, if the server needs one.
 func (ga *gather[R, H, S, M, A]) sendAttempt(ctx context.Context, now time.Time, index int, sv *machine.Server, hedge bool) {
 	pt := &ga.parts[index]
 	ga.attempts++
+	if ga.engine.Cold.Limits(now, sv) {
+		ctx = withToken(ctx, now)
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	pt.openAttempts = append(pt.openAttempts, attempt{number: ga.attempts, server: sv, hedge: hedge, cancel: cancel})
 	pt.tried = append(pt.tried, sv)
@@ -271,6 +276,7 @@
 	answer, err := ga.engine.Sender.Send(ctx, sv, message)
 	sv.State.InFlight.Add(-1)
 	now := time.Now()
+	ga.returnToken(now, sv, err)
 	ga.recordOutcome(now, sv, now.Sub(sentAt), err)
 	ga.recordSafety(now, ga.parts[index].shard.Name, sv, generation, err)
 	ga.results <- attemptResult[A]{part: index, number: number, answer: answer, err: err}
--- a/internal/query/scatter/retry.go
+++ b/internal/query/scatter/retry.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"daisystage.example/daisystage/internal/world/contract"
+	"daisystage.example/daisystage/internal/world/machine"
 )
 
 // retryPart sends a part again after a failed attempt, if that is safe, useful
@@ -24,7 +25,7 @@
 		ga.giveUp(index, cause)
 		return
 	}
-	sv := ga.chooseReplica(now, pt, "")
+	sv := ga.chooseWithToken(now, func() *machine.Server { return ga.chooseReplica(now, pt, "") })
 	if sv == nil {
 		pt.Record.NoRetryReason = contract.NoRetryNoReplica
 		ga.snapshotLost = ga.snapshotLost || cause == contract.CauseSnapshotLost && ga.isRestartUseful(now)
@@ -32,6 +33,7 @@
 		return
 	}
 	if !pt.shard.Budget.TryRetry(now, cause, ga.isRequired()) {
+		ga.engine.Cold.Return(now, sv)
 		pt.Record.NoRetryReason = contract.NoRetryBudget
 		ga.giveUp(index, cause)
 		return
@@ -103,9 +105,15 @@
 			pt.hedgeAt = now.Add(max(ga.hedgeDelay/2, minHedgeDelay))
 			continue
 		}
+		if !ga.engine.Cold.TrySend(now, sv) {
+			pt.Record.NoRetryReason = contract.NoRetryNoReplica
+			pt.hedgeAt = now.Add(max(ga.hedgeDelay/2, minHedgeDelay))
+			continue
+		}
 		if !pt.shard.Budget.TryHedge(now, ga.isRequired()) {
 			// A later hedge would use up budget that another part needs for a timely
 			// one.
+			ga.engine.Cold.Return(now, sv)
 			pt.hedgeDenied = true
 			pt.Record.NoRetryReason = contract.NoRetryBudget
 			continue
--- a/internal/query/scatter/start.go
+++ b/internal/query/scatter/start.go
@@ -60,11 +60,7 @@
 // would be lost.
 func (ga *gather[R, H, S, M, A]) startParts(ctx context.Context, now time.Time) {
 	if ga.job.PartialAfter.IsZero() {
-		for i := range ga.parts {
-			if ga.parts[i].isUnsent() {
-				ga.startPart(ctx, now, i, ga.chooseReplica(now, &ga.parts[i], ""))
-			}
-		}
+		ga.startAll(ctx, now)
 		return
 	}
 	if ga.primaries == 0 && ga.countStartable(now) < ga.needed {
@@ -79,7 +75,7 @@
 		if !pt.isUnsent() {
 			continue
 		}
-		if ga.chooseReplica(now, pt, "") == nil {
+		if ga.chooseReplica(now, pt, "") == nil && !ga.awaitsToken(now, pt) {
 			ga.giveUp(i, contract.CauseNoReplica)
 			continue
 		}
@@ -88,6 +84,41 @@
 	ga.nextStartCheck = now.Add(startCheckInterval)
 }
 
+// startAll sends the first attempts of all parts. Those that need a token of a cold server
+// wait for it, as long as requests wait for room.
+func (ga *gather[R, H, S, M, A]) startAll(ctx context.Context, now time.Time) {
+	ga.postponed = 0
+	for i := range ga.parts {
+		pt := &ga.parts[i]
+		if !pt.isUnsent() {
+			continue
+		}
+		sv := ga.chooseWithToken(now, func() *machine.Server { return ga.chooseReplica(now, pt, "") })
+		switch {
+		case sv != nil || !ga.awaitsToken(now, pt):
+			ga.startPart(ctx, now, i, sv)
+		case ga.hasWaitedForStart(now):
+			ga.giveUp(i, contract.CauseNoRoom)
+		default:
+			ga.postponed++
+		}
+	}
+	ga.nextStartCheck = now.Add(startCheckInterval)
+}
+
+// hasWaitedForStart reports whether the request has waited for so long that it is given
+// up. The wait begins with the first call.
+func (ga *gather[R, H, S, M, A]) hasWaitedForStart(now time.Time) bool {
+	if ga.giveUpStartAt.IsZero() {
+		within := ga.job.Settings.Goal
+		if within <= 0 && ga.job.PartialAfter.IsZero() {
+			within = ga.job.Deadline.Sub(now)
+		}
+		ga.giveUpStartAt = now.Add(within * maxStartWaitPercent / 100)
+	}
+	return !now.Before(ga.giveUpStartAt)
+}
+
 // startWithRoom sends the first attempts for which a server has room. The first ones, up
 // to the given number, are required.
 func (ga *gather[R, H, S, M, A]) startWithRoom(ctx context.Context, now time.Time, required int) {
@@ -95,7 +126,8 @@
 		if !ga.parts[i].isUnsent() {
 			continue
 		}
-		if sv := ga.chooseForStart(now, &ga.parts[i], required > 0); sv != nil {
+		choose := func() *machine.Server { return ga.chooseForStart(now, &ga.parts[i], required > 0) }
+		if sv := ga.chooseWithToken(now, choose); sv != nil {
 			ga.startPart(ctx, now, i, sv)
 			required--
 		}
@@ -140,12 +172,9 @@
 // postponeAll puts off the start of the request, or gives it up if it has waited for
 // too long.
 func (ga *gather[R, H, S, M, A]) postponeAll(now time.Time) {
-	if ga.giveUpStartAt.IsZero() {
-		ga.giveUpStartAt = now.Add(ga.job.Settings.Goal * maxStartWaitPercent / 100)
-	}
 	ga.postponed = len(ga.parts)
 	ga.nextStartCheck = now.Add(startCheckInterval)
-	if !now.Before(ga.giveUpStartAt) {
+	if ga.hasWaitedForStart(now) {
 		ga.postponed = 0
 		ga.giveUpAll(contract.CauseNoRoom)
 	}
--- a/internal/world/contract/sharedrate.go
+++ b/internal/world/contract/sharedrate.go
@@ -41,9 +41,34 @@
 	Slack   float64       `json:"slack"`
 }
 
+// TokenTTL is how long after it was taken a token may be used for a send.
+const TokenTTL = 100 * time.Millisecond
+
+const (
+	// leaseSeconds is how long a token may be held by an entry VM before it is taken, and
+	// grantSeconds the time between two grants to it, in which the bucket fills.
+	leaseSeconds = 0.5
+	grantSeconds = 0.25
+	// warmUpReservePercent is the part of the slack of cold servers that is not granted. It
+	// covers sends without a lease, and what a server gets before it is known to be cold.
+	warmUpReservePercent = 50
+)
+
 // WarmUpBounds is the tolerance with which the limits of cold servers hold: in any
 // second a server gets no more requests than rate x Overage + Slack.
 type WarmUpBounds struct {
 	Overage float64 `json:"overage"`
 	Slack   float64 `json:"slack"`
 }
+
+// SharedRate returns the shared rate with which a server that bears perSecond requests
+// keeps within the bounds. A second sees tokens that were granted within it, those that
+// were held or taken before it, and the burst.
+func (wb WarmUpBounds) SharedRate(perSecond float64) SharedRate {
+	overage := wb.Overage
+	if overage <= 0 {
+		overage = 1
+	}
+	rate := min(perSecond*overage/(1+leaseSeconds+TokenTTL.Seconds()+grantSeconds), perSecond)
+	return SharedRate{PerSecond: rate, Burst: max(rate*grantSeconds+wb.Slack*(100-warmUpReservePercent)/100, 1)}
+}
--- a/internal/world/machine/server.go
+++ b/internal/world/machine/server.go
@@ -48,7 +48,7 @@
 	// StartedAt is when the server's process started; zero if unknown. After a
 	// restart under the same name, the server counts as a new one.
 	StartedAt time.Time `json:"started_at,omitzero"`
-	// ColdUntil is the end of the warm-up after a start.
+	// ColdUntil is the end of the warm-up by the record; State has that in force.
 	ColdUntil time.Time `json:"cold_until,omitzero"`
 	// State is shared by all copies of the server's record. It is not nil in a
 	// view.
--- a/internal/world/machine/state.go
+++ b/internal/world/machine/state.go
@@ -90,6 +90,13 @@
 	// Evacuated is set while the server's zone is evacuated. Requests that began with an
 	// older view see it here.
 	Evacuated atomic.Bool
+	// ColdUntil is until when the server is cold, by its record and its answers, in Unix
+	// nanoseconds; 0 if it is not.
+	ColdUntil atomic.Int64
+	// warmUpRate holds the bits of the number of requests a second that the server bears
+	// while it is cold, that of its service; 0 sets no limit. It is here since pools of
+	// connections and running requests hold older records of the server.
+	warmUpRate atomic.Uint64
 	// BackOffUntil is until when the server asked this process for no requests, in
 	// Unix nanoseconds. It never decreases.
 	BackOffUntil atomic.Int64
--- a/internal/world/view/fleet.go
+++ b/internal/world/view/fleet.go
@@ -108,7 +108,7 @@
 	return dr.Fleet.withServiceIndex()
 }
 
-// setTable implements WithTable. It also updates the connection limits of servers.
+// setTable implements WithTable. It also updates the limits of servers.
 func (dr *draft) setTable(tb *contract.Table) {
 	if dr.Table != nil && tb.Version <= dr.Table.Version {
 		return
@@ -116,14 +116,19 @@
 	dr.copyMaps()
 	dr.Table = tb
 	for name, sv := range dr.Servers {
-		dr.Servers[name] = withLimit(sv, tb)
+		dr.Servers[name] = withLimits(sv, tb)
 	}
 }
 
-// withLimit returns the server with the connection limit of its service.
-func withLimit(sv *machine.Server, tb *contract.Table) *machine.Server {
+// withLimits returns the server with the limits of its service. It sets the limit of a
+// cold server in its state.
+func withLimits(sv *machine.Server, tb *contract.Table) *machine.Server {
 	se, ok := tb.Services[sv.Service]
-	if !ok || se.ConnectionLimit == sv.ConnectionLimit {
+	if !ok {
+		return sv
+	}
+	sv.State.SetWarmUpRate(se.WarmUpRate)
+	if se.ConnectionLimit == sv.ConnectionLimit {
 		return sv
 	}
 	changed := *sv
@@ -158,8 +163,9 @@
 	}
 	sv.State.Withdrawn.Store(sv.Leaving)
 	sv.State.Evacuated.Store(dr.Evacuated[sv.Zone])
+	sv.State.RecordCold(sv.ColdUntil)
 	if dr.Table != nil {
-		sv = *withLimit(&sv, dr.Table)
+		sv = *withLimits(&sv, dr.Table)
 	}
 	dr.copyMaps()
 	dr.Servers[sv.Name] = &sv
--- a/internal/world/view/fleet_test.go
+++ b/internal/world/view/fleet_test.go
@@ -343,3 +343,46 @@
 		})
 	}
 }
+
+// TestColdServers guards against a server whose record says that it became cold again, or is
+// warm, and that is treated as before.
+func TestColdServers(t *testing.T) {
+	cold, restarted, earlier := planServer, planServer, planServer
+	cold.ColdUntil = start.Add(time.Minute)
+	restarted.StartedAt = start.Add(time.Second)
+	earlier.StartedAt, earlier.ColdUntil = start.Add(-time.Second), start.Add(time.Hour)
+	sooner := planServer
+	sooner.ColdUntil = start.Add(time.Second)
+	tests := []struct {
+		name    string
+		records []machine.Server
+		answer  time.Time
+		want    bool
+	}{
+		{"warm", []machine.Server{planServer}, time.Time{}, false},
+		{"cold", []machine.Server{cold}, time.Time{}, true},
+		{"warm by a newer record", []machine.Server{cold, planServer}, time.Time{}, false},
+		{"cold again by a newer record", []machine.Server{planServer, cold}, time.Time{}, true},
+		{"a newer record with an earlier end", []machine.Server{cold, sooner}, time.Time{}, true},
+		{"restarted warm", []machine.Server{cold, restarted}, time.Time{}, false},
+		{"a record of an earlier start", []machine.Server{planServer, earlier}, time.Time{}, false},
+		{"cold again by an answer", []machine.Server{planServer}, start.Add(time.Minute), true},
+	}
+	for _, tt := range tests {
+		fl := Fleet{}
+		for i, record := range tt.records {
+			fl = mustApply(t, fl, start, recordObject("one", int64(i+1), record))
+		}
+		if !tt.answer.IsZero() {
+			fl.Servers["one"].State.RecordCold(tt.answer)
+		}
+		assert.Equal(t, fl.Servers["one"].State.IsCold(start.Add(30*time.Second)), tt.want, tt.name)
+	}
+	// The limit of the service applies whether the table or the record comes first.
+	tb, err := contract.NewTable(5, nil, []contract.Service{{Name: "plans", ConnectionLimit: 25, WarmUpRate: 8}}, contract.CallerLimits{})
+	assert.NilError(t, err)
+	before := mustApply(t, Fleet{}.WithTable(tb), start, recordObject("one", 1, planServer))
+	after := mustApply(t, Fleet{}, start, recordObject("one", 1, planServer)).WithTable(tb)
+	assert.Equal(t, before.Servers["one"].State.WarmUpRate(), 8.0)
+	assert.Equal(t, after.Servers["one"].State.WarmUpRate(), 8.0)
+}
