--- a/internal/query/scatter/token_test.go
+++ b/internal/query/scatter/token_test.go
@@ -42,16 +42,25 @@
 	tk.left[key]++
 }
 
-// add adds a token for the server in zone-0 of each of the first shards.
-func (tk *tokens) add(shards int) {
+// add adds a token for the server in a zone of each of the first shards.
+func (tk *tokens) add(shards, zone int) {
 	for index := range shards {
-		tk.Return(time.Time{}, contract.RateKey{Kind: contract.RateOfColdServer, Name: fmt.Sprintf("sv-%02d-0/0", index)})
+		tk.Return(time.Time{}, contract.RateKey{Kind: contract.RateOfColdServer, Name: fmt.Sprintf("sv-%02d-%d/0", index, zone)})
 	}
 }
 
-func newTokens(shards int) *tokens {
+// total returns the number of tokens that are left.
+func (tk *tokens) total() int {
+	total := 0
+	for _, count := range tk.left {
+		total += count
+	}
+	return total
+}
+
+func newTokens(shards, zone int) *tokens {
 	tk := &tokens{left: map[contract.RateKey]int{}}
-	tk.add(shards)
+	tk.add(shards, zone)
 	return tk
 }
 
@@ -77,8 +86,9 @@
 	tests := []struct {
 		name string
 		cold []string
-		// tokens are there at the start, and more after 15 ms.
-		tokens, more int
+		// tokens are there at the start for servers of a zone, and more after 15 ms; left
+		// are those that were not used.
+		tokens, more, zone, left int
 		// single is set for a request to one service, which returns no partial answer.
 		single bool
 		// fails lets each first attempt fail unsent, slow take so long that it is hedged.
@@ -91,10 +101,11 @@
 		{name: "one zone, no token", cold: zones[:1], shards: 10, answered: 10, sends: 10},
 		{name: "two zones, a retry without a token", cold: zones[:2], fails: true, shards: 1, answered: 0, sends: 1, cause: contract.CauseShed},
 		{name: "two zones, a hedge without a token", cold: zones[:2], slow: true, shards: 10, answered: 10, sends: 10},
+		{name: "two zones, hedges with tokens", cold: zones[1:], slow: true, tokens: 10, zone: 1, shards: 10, answered: 10, sends: 20},
 		{name: "one zone, hedges in the other", cold: zones[:1], slow: true, shards: 10, answered: 10, sends: 20},
 		{name: "all cold, tokens for all", cold: zones, tokens: 10, shards: 10, answered: 10, sends: 10},
 		{name: "all cold, no token", cold: zones, shards: 10, cause: contract.CauseNoRoom},
-		{name: "all cold, too few tokens", cold: zones, tokens: 8, shards: 10, cause: contract.CauseNoRoom},
+		{name: "all cold, too few tokens", cold: zones, tokens: 8, left: 8, shards: 10, cause: contract.CauseNoRoom},
 		{name: "all cold, a token for all but one", cold: zones, tokens: 9, shards: 10, answered: 9, sends: 9},
 		{name: "all cold, tokens soon", cold: zones, more: 10, shards: 10, answered: 10, sends: 10},
 		{name: "single, all cold, no token", cold: zones, single: true, shards: 1, cause: contract.CauseNoRoom},
@@ -113,7 +124,7 @@
 					}
 					return 8 * time.Millisecond, nil
 				}}
-				tk := newTokens(tt.tokens)
+				tk := newTokens(tt.tokens, tt.zone)
 				en := newRoomEngine(fs)
 				en.Cold = &machine.ColdLimit{Rates: tk, Bounds: func() contract.WarmUpBounds { return contract.WarmUpBounds{} }}
 				startedAt := time.Now()
@@ -124,7 +135,7 @@
 					jb.PartialAfter = startedAt.Add(86 * time.Millisecond)
 				}
 				makeCold(jb, tt.cold...)
-				time.AfterFunc(15*time.Millisecond, func() { tk.add(tt.more) })
+				time.AfterFunc(15*time.Millisecond, func() { tk.add(tt.more, tt.zone) })
 				rs := en.Run(t.Context(), jb)
 				assert.Equal(t, rs.Answered(), tt.answered)
 				sends := 0
@@ -132,6 +143,7 @@
 					sends += len(names)
 				}
 				assert.Equal(t, sends, tt.sends)
+				assert.Equal(t, tk.total(), tt.left)
 				assert.Equal(t, rs.Parts[0].Record.Cause, tt.cause)
 				assert.Assert(t, time.Since(startedAt) <= 86*time.Millisecond)
 				time.Sleep(time.Minute)
@@ -166,7 +178,7 @@
 					}
 					return time.Millisecond, &contract.PartError{Cause: tt.cause, NotRun: tt.notRun}
 				}}
-				tk := newTokens(1)
+				tk := newTokens(1, 0)
 				en := newRoomEngine(fs)
 				en.Cold = &machine.ColdLimit{Rates: tk, Bounds: func() contract.WarmUpBounds { return contract.WarmUpBounds{} }}
 				settings := newJobSettings()
@@ -175,11 +187,7 @@
 				jb.Shards[0].Replicas = jb.Shards[0].Replicas[:1]
 				makeCold(jb, "zone-0")
 				en.Run(t.Context(), jb)
-				left := 0
-				for _, count := range tk.left {
-					left += count
-				}
-				assert.Equal(t, left, tt.left)
+				assert.Equal(t, tk.total(), tt.left)
 				time.Sleep(time.Minute)
 			})
 		})
