--- a/internal/node/events/events.go
+++ b/internal/node/events/events.go
@@ -54,6 +54,7 @@
 	Quarantined         = Event{403, "request_quarantined", zapcore.ErrorLevel}
 	LibraryMessage      = Event{404, "library", zapcore.WarnLevel}
 	ServerBackOff       = Event{405, "server_back_off", zapcore.WarnLevel}
+	ServersCold         = Event{406, "servers_cold", zapcore.InfoLevel}
 
 	AnswerPartial = Event{501, "answer_partial", zapcore.WarnLevel}
 	AnswerRefused = Event{502, "answer_refused", zapcore.WarnLevel}
@@ -72,7 +73,7 @@
 		WatchFailed, OlderObjectRefused, BadObjectRefused, StaleStore, ReceiptsDropped, ReceiptsWriteFailed, ClaimsSwept,
 		ZoneEvacuated, ZoneTakenBack,
 		PeerFailed, PeerJoined, PeerSilent, Isolated, Confirmed, PulledFromPeer,
-		ServerLeaving, ServerLostToRequest, Quarantined, LibraryMessage, ServerBackOff,
+		ServerLeaving, ServerLostToRequest, Quarantined, LibraryMessage, ServerBackOff, ServersCold,
 		AnswerPartial, AnswerRefused, AnswerUnknown, AnswerWhole,
 		SettingAccepted, SettingRefused, TableInForce,
 	}
--- a/internal/node/forwardvm/process.go
+++ b/internal/node/forwardvm/process.go
@@ -133,9 +133,12 @@
 	// unreadable collects the platform's entries that can't be used.
 	unreadable *platform.Unreadable
 	// cold limits the requests to cold servers; nil if nothing does.
-	cold    *machine.ColdLimit
-	target  *fleetTarget
-	watcher *platform.Watcher
+	cold *machine.ColdLimit
+	// coldServers is the number of limited servers when the gauges were last set. Only the
+	// upkeep uses it.
+	coldServers int64
+	target      *fleetTarget
+	watcher     *platform.Watcher
 	// settings is the configuration in force, with the changes of reloads.
 	settings  *rcu.Value[Config]
 	startedAt time.Time
--- a/internal/node/forwardvm/state.go
+++ b/internal/node/forwardvm/state.go
@@ -130,6 +130,10 @@
 		version = fl.Table.Version
 	}
 	cold, withheld := ps.countCold(now)
+	if cold != ps.coldServers {
+		ps.coldServers = cold
+		events.ServersCold.Log(ps.Log, zap.Int64("count", cold), zap.Int64("withheld", withheld))
+	}
 	open := int64(0)
 	for _, pl := range ps.Backend.Pools() {
 		open += pl.Open
