--- a/internal/node/forwardvm/process.go
+++ b/internal/node/forwardvm/process.go
@@ -112,6 +112,9 @@
 	CallerHandler    func(ps *Process) http.Handler
 	ReadyHandler     func(ps *Process) http.Handler
 	DirectoryHandler func(ps *Process) http.Handler
+	// SharedRates are the rates that the entry VMs share; nil if there are none. Without
+	// them, cold servers are not limited.
+	SharedRates machine.SharedRates
 }
 
 // Process is the running process of one entry VM. Create it with Start.
@@ -132,8 +135,13 @@
 
 	// unreadable collects the platform's entries that can't be used.
 	unreadable *platform.Unreadable
-	target     *fleetTarget
-	watcher    *platform.Watcher
+	// cold limits the requests to cold servers; nil if nothing does.
+	cold *machine.ColdLimit
+	// coldServers is the number of limited servers when the gauges were last set. Only the
+	// upkeep uses it.
+	coldServers int64
+	target      *fleetTarget
+	watcher     *platform.Watcher
 	// settings is the configuration in force, with the changes of reloads.
 	settings  *rcu.Value[Config]
 	startedAt time.Time
@@ -210,6 +218,10 @@
 	ps.Backend, endBackend = backend.New(dial)
 	ps.group.Cleanup(endBackend)
 	ps.Backend.SetEntryVMs(assumedEntryVMs)
+	if cg.UsesWarmUp && fe.SharedRates != nil {
+		ps.cold = &machine.ColdLimit{Rates: fe.SharedRates, Bounds: func() contract.WarmUpBounds { return ps.settings.Load().WarmUp }}
+	}
+	ps.Backend.Cold = ps.cold
 	ps.Backend.OnDeparture, ps.Backend.OnBackOff = ps.onDeparture, ps.onBackOff
 	var endMetrics func()
 	ps.Metrics, endMetrics = metrics.New(cg.Name, cg.Zone)
@@ -254,7 +266,7 @@
 		Freshness: ps.Freshness, SinceBoot: bootclock.Now, KeyBounds: ps.keyBounds,
 		Engine: &scatter.Engine[scatter.LeastExpectedLatency, scatter.GoalHedge, scatter.StartWithRoom, forward.Attempt, forward.Answer]{
 			Sender: fe.NewSender(ps.Backend, ps.Fleets), Zone: zone.Zone{Name: cg.Zone, DefaultDelay: defaultZoneDelay},
-			Quarantine: quarantine, OnServerLost: ps.onServerLost,
+			Quarantine: quarantine, OnServerLost: ps.onServerLost, Cold: ps.cold,
 		},
 		Memory:   quota.NewPool(cg.MessageMemory()),
 		Budgets:  forward.NewBudgets(now, cg.Retries, len(cg.Peers)+1),
@@ -391,6 +403,7 @@
 		old.Peers, old.Retries, old.DirectoryTTL, old.MaxDirectoryTTL = cg.Peers, cg.Retries, cg.DirectoryTTL, cg.MaxDirectoryTTL
 		old.DrainFor, old.ApplyWithin, old.StopWithin = cg.DrainFor, cg.ApplyWithin, cg.StopWithin
 		old.RevokeWithin = cg.RevokeWithin
+		old.WarmUp, old.EvacuateWithin = cg.WarmUp, cg.EvacuateWithin
 		return old
 	})
 	ps.Cluster.SetSeeds(cg.Peers)
--- a/internal/node/forwardvm/state.go
+++ b/internal/node/forwardvm/state.go
@@ -5,6 +5,7 @@
 	"maps"
 	"net/http"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -75,7 +76,9 @@
 	// BackOffUntil is until when the server asked for no requests; zero if it never
 	// did.
 	BackOffUntil time.Time `json:"back_off_until,omitzero"`
-	PartsSent    int64     `json:"runs"`
+	// ColdUntil is until when the server is cold, by its record and its answers.
+	ColdUntil time.Time `json:"cold_until,omitzero"`
+	PartsSent int64     `json:"runs"`
 }
 
 // State returns a dump of the process. It takes no lock that requests wait for.
@@ -102,15 +105,17 @@
 				Server: sv, InFlight: sv.State.InFlight.Load(), ReportedLoad: sv.State.ReportedLoad.Load(), ExpectedWait: sv.ExpectedWait(now), Latency: time.Duration(sv.State.LatencyNanos.Load()),
 				Slowdown:     sv.State.Slowdown(now),
 				FailureShare: sv.State.FailureShare(now), Suspect: sv.State.IsSuspect(now), Leaves: sv.IsLeaving(now),
-				PartsSent: sv.State.PartsSent.Load(), Departing: sv.State.Departing.Load(), BackOffUntil: backOffUntil(sv),
+				PartsSent: sv.State.PartsSent.Load(), Departing: sv.State.Departing.Load(), BackOffUntil: timeOf(&sv.State.BackOffUntil),
+				ColdUntil: timeOf(&sv.State.ColdUntil),
 			})
 		}
 	}
 	return st
 }
 
-func backOffUntil(sv *machine.Server) time.Time {
-	if nanos := sv.State.BackOffUntil.Load(); nanos != 0 {
+// timeOf returns a time in Unix nanoseconds, the zero time for 0.
+func timeOf(value *atomic.Int64) time.Time {
+	if nanos := value.Load(); nanos != 0 {
 		return time.Unix(0, nanos)
 	}
 	return time.Time{}
@@ -136,6 +141,11 @@
 	if fl.Table != nil {
 		version = fl.Table.Version
 	}
+	cold, withheld := ps.countCold(now)
+	if cold != ps.coldServers {
+		ps.coldServers = cold
+		events.ServersCold.Log(ps.Log, zap.Int64("count", cold), zap.Int64("withheld", withheld))
+	}
 	open := int64(0)
 	for _, pl := range ps.Backend.Pools() {
 		open += pl.Open
@@ -146,6 +156,8 @@
 		"forward_table_age_seconds": ps.Freshness.AsOf().Age(bootclock.Now()).Seconds(),
 		"forward_keys_stale":        boolGauge(ps.keysAreStale()),
 		"forward_servers":           float64(len(fl.Servers)),
+		"forward_cold_servers":      float64(cold),
+		"forward_cold_withheld":     float64(withheld),
 		"forward_evacuated_zones":   float64(len(fl.Evacuated)),
 		"forward_entry_vms":         float64(ps.countLiveEntryVMs(now)),
 		"forward_links":             float64(open),
@@ -167,6 +179,20 @@
 	return 0
 }
 
+// countCold returns the number of servers that are limited because they are cold, and
+// that of the sends for which they had no token.
+func (ps *Process) countCold(now time.Time) (servers, withheld int64) {
+	if ps.cold == nil {
+		return 0, 0
+	}
+	for _, sv := range ps.Fleets.Load().Servers {
+		if ps.cold.Limits(now, sv) {
+			servers++
+		}
+	}
+	return servers, ps.cold.Withheld.Load()
+}
+
 func (ps *Process) droppedLines() int64 {
 	if ps.LogQueue == nil {
 		return 0
