--- a/internal/node/forwardvm/keys.go
+++ b/internal/node/forwardvm/keys.go
@@ -16,11 +16,11 @@
 	// most, in percent of RevokeWithin. With the pause between two watches and the
 	// interval of heartbeats, the configuration of VMs that follow peers stays younger
 	// than strictPeerPercent.
-	strictWaitPercent = 6
+	strictWaitPercent = 10
 	// strictPeerPercent is the age, in percent of RevokeWithin, at which a process whose
 	// peers do not confirm the configuration watches the store itself. Keys earn nothing
 	// from 60 percent on.
-	strictPeerPercent = 45
+	strictPeerPercent = 50
 )
 
 // keyBounds returns the bounds on the age of the configuration that are in force.
--- a/internal/node/forwardvm/observer.go
+++ b/internal/node/forwardvm/observer.go
@@ -92,7 +92,7 @@
 		return
 	}
 	rl.event.Log(ob.log,
-		zap.String("request_id", rc.ID), zap.String("route", rc.Route), zap.Int64("table_version", rc.TableVersion),
+		zap.String("request_id", rc.ID), zap.String("route", rc.Route), zap.String("customer", rc.Customer), zap.Int64("table_version", rc.TableVersion),
 		zap.Duration("table_age", rc.Age), zap.Duration("took", rc.Took),
 		zap.Duration("round_trip", rc.RoundTrip),
 		zap.String("outcome", string(rc.Outcome)), zap.String("code", string(rc.Code)), zap.String("reason", rc.Reason),
--- a/internal/query/forward/forward.go
+++ b/internal/query/forward/forward.go
@@ -90,8 +90,10 @@
 
 // CallRecord describes how one call was handled.
 type CallRecord struct {
-	ID           string
-	Route        string
+	ID    string
+	Route string
+	// Customer is the name of the customer; empty if none was found.
+	Customer     string
 	TableVersion int64
 	// Age is the time since the platform last confirmed the configuration.
 	Age time.Duration
--- a/internal/query/forward/key.go
+++ b/internal/query/forward/key.go
@@ -33,6 +33,7 @@
 	rn.customer = tb.CustomerOf(rn.call.Key)
 	switch {
 	case rn.customer != nil:
+		rn.record.Customer = rn.customer.Name
 		return nil
 	case !bounds.IsUnknown(age):
 		return newStaleKeys(age, "the configuration may be too old to know the key")
