Use a zone that was taken back a moment later, and by the monotonic clock

Servers of an evacuated zone may have become cold shortly before it is taken back; that news comes by the watch of another prefix, and may be late by the pause between two watches. The ends of warm-ups and the age of slowness reports no longer move with the time of day.

--- a/internal/node/forwardvm/state.go
+++ b/internal/node/forwardvm/state.go
@@ -94,7 +94,7 @@
 				Slowdown:     sv.State.Slowdown(now),
 				FailureShare: sv.State.FailureShare(now), Suspect: sv.State.IsSuspect(now), Leaves: sv.IsLeaving(now),
 				PartsSent: sv.State.PartsSent.Load(), Departing: sv.State.Departing.Load(), BackOffUntil: timeOf(&sv.State.BackOffUntil),
-				ColdUntil: timeOf(&sv.State.ColdUntil),
+				ColdUntil: sv.State.ColdEnd(),
 			})
 		}
 	}
--- a/internal/peer/backend/client.go
+++ b/internal/peer/backend/client.go
@@ -339,7 +339,7 @@
 
 // mayCheckHealth reports whether a health check may be sent to a server.
 func mayCheckHealth(now time.Time, sv *machine.Server) bool {
-	return !sv.State.IsBackingOff(now) && !sv.State.Evacuated.Load()
+	return !sv.State.IsBackingOff(now) && !sv.State.IsEvacuated(now)
 }
 
 // isReset reports whether the peer reset a connection. A read fails with
--- a/internal/world/machine/slowdown.go
+++ b/internal/world/machine/slowdown.go
@@ -33,7 +33,7 @@
 	// Of two concurrent updates, one may be lost.
 	st.AveragePercent.Store(average + (int64(percent)*percentUnit-average)*percentWeight/100)
 	st.ReportedPercent.Store(int64(percent))
-	st.PercentAt.Store(now.UnixNano())
+	st.PercentAt.Store(ticks(now))
 }
 
 func (st *ServerState) averagePercent() int64 {
@@ -52,7 +52,7 @@
 	if percent == 0 {
 		return 1
 	}
-	age := max(time.Duration(now.UnixNano()-st.PercentAt.Load()), 0)
+	age := max(time.Duration(ticks(now)-st.PercentAt.Load()), 0)
 	if age >= maxSlowdownAge {
 		return 1
 	}
--- a/internal/world/machine/state.go
+++ b/internal/world/machine/state.go
@@ -87,11 +87,11 @@
 	// server is removed since its record disappeared. Requests that began with an older
 	// view see it here.
 	Withdrawn atomic.Bool
-	// Evacuated is set while the server's zone is evacuated. Requests that began with an
-	// older view see it here.
-	Evacuated atomic.Bool
-	// ColdUntil is until when the server is cold, by its record and its answers, in Unix
-	// nanoseconds; 0 if it is not.
+	// EvacuatedUntil is until when the server's zone is evacuated, in ticks: evacuatedForever
+	// while it is, 0 if it was not. Requests that began with an older view see it here.
+	EvacuatedUntil atomic.Int64
+	// ColdUntil is until when the server is cold, by its record and its answers, in ticks; 0
+	// if it is not.
 	ColdUntil atomic.Int64
 	// warmUpRate holds the bits of the number of requests a second that the server bears
 	// while it is cold, that of its service; 0 sets no limit. It is here since pools of
@@ -121,7 +121,7 @@
 	// AveragePercent is the smoothed ReportedPercent in 1/1000 percent. It starts at 100
 	// percent.
 	AveragePercent atomic.Int64
-	// PercentAt is when ReportedPercent was set, in Unix nanoseconds.
+	// PercentAt is when ReportedPercent was set, in ticks.
 	PercentAt atomic.Int64
 	// PartsSent counts the parts sent to the server.
 	PartsSent atomic.Int64
--- a/internal/world/view/fleet.go
+++ b/internal/world/view/fleet.go
@@ -59,8 +59,8 @@
 // WithServer returns a fleet with the server added or updated. A record of an
 // earlier start of the server is ignored. A server that is marked as leaving stays
 // so until it restarts.
-func (fl Fleet) WithServer(sv machine.Server) Fleet {
-	return fl.update(func(dr *draft) { dr.setServer(sv) })
+func (fl Fleet) WithServer(now time.Time, sv machine.Server) Fleet {
+	return fl.update(func(dr *draft) { dr.setServer(now, sv) })
 }
 
 // WithoutServer returns a fleet without a server whose record disappeared. A
@@ -138,7 +138,7 @@
 
 // setServer implements WithServer. The state of a server is kept unless the server
 // restarted.
-func (dr *draft) setServer(sv machine.Server) {
+func (dr *draft) setServer(now time.Time, sv machine.Server) {
 	old := dr.Servers[sv.Name]
 	if old != nil && old.StartedAt.Equal(sv.StartedAt) {
 		sv.State = old.State
@@ -162,7 +162,7 @@
 		old.State.Withdrawn.Store(true)
 	}
 	sv.State.Withdrawn.Store(sv.Leaving)
-	sv.State.Evacuated.Store(dr.Evacuated[sv.Zone])
+	sv.State.SetEvacuated(now, dr.Evacuated[sv.Zone])
 	sv.State.RecordCold(sv.ColdUntil)
 	if dr.Table != nil {
 		sv = *withLimits(&sv, dr.Table)
@@ -222,7 +222,7 @@
 
 // setEvacuated marks a zone as evacuated or takes the mark back. Requests that began with
 // an older fleet see it in the state of the servers.
-func (dr *draft) setEvacuated(zone string, evacuated bool) {
+func (dr *draft) setEvacuated(now time.Time, zone string, evacuated bool) {
 	zones := cloneOrEmpty(dr.Evacuated)
 	delete(zones, zone)
 	if evacuated {
@@ -231,7 +231,7 @@
 	dr.Evacuated = zones
 	for _, sv := range dr.Servers {
 		if sv.Zone == zone {
-			sv.State.Evacuated.Store(evacuated)
+			sv.State.SetEvacuated(now, evacuated)
 		}
 	}
 }
@@ -321,7 +321,7 @@
 	case PrefixFleetServers:
 		return dr.applyServer(now, removalDelay, codec, name, ob)
 	case PrefixEvacuations:
-		dr.setEvacuated(name, !ob.Deleted)
+		dr.setEvacuated(now, name, !ob.Deleted)
 	case PrefixTable:
 		return dr.applyTable(codec, ob)
 	}
@@ -338,7 +338,7 @@
 	if err != nil {
 		return err
 	}
-	dr.setServer(sv)
+	dr.setServer(now, sv)
 	return nil
 }
 
