--- a/internal/world/view/bench_test.go
+++ b/internal/world/view/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"runtime"
+	"strings"
 	"testing"
 	"time"
 
@@ -129,3 +130,23 @@
 		})
 	}
 }
+
+// BenchmarkEvacuate evacuates one of three zones and takes it back.
+func BenchmarkEvacuate(b *testing.B) {
+	for _, count := range []int{170, 81000} {
+		b.Run(fmt.Sprintf("servers=%d", count), func(b *testing.B) {
+			objects := make([]Object, count)
+			for i := range objects {
+				objects[i] = serverObject(i, int64(i+1))
+				objects[i].Key = PrefixFleetServers + fmt.Sprintf("svc%04d-%05d", i/30, i)
+				objects[i].Value = strings.Replace(objects[i].Value, "riga-1", fmt.Sprintf("riga-%d", i%3), 1)
+			}
+			fl, _ := Fleet{}.Apply(time.Now(), 0, plainCodec{}, objects)
+			version := int64(count)
+			for b.Loop() {
+				version++
+				fl, _ = fl.Apply(time.Now(), 0, plainCodec{}, []Object{evacuation("riga-1", version, version%2 == 0)})
+			}
+		})
+	}
+}
