--- a/internal/query/scatter/engine.go
+++ b/internal/query/scatter/engine.go
@@ -68,6 +68,9 @@
 	Message func(sh *Shard, attempt int32) M
 	// Latency holds the recent latencies of parts of the same kind of request.
 	Latency *link.Latency
+	// Costs holds the expected work of requests of the same kind; nil if work is not
+	// estimated.
+	Costs *contract.RouteCosts
 	// Deadline is when the parts that are still pending are given up.
 	Deadline time.Time
 	// PartialAfter is the time from which an answer with MinCoverage is returned
--- a/internal/query/scatter/engine_test.go
+++ b/internal/query/scatter/engine_test.go
@@ -249,7 +249,7 @@
 		sv.State.MarkSuspect(now)
 	}
 	for range 20 {
-		sv := LeastExpectedLatency{}.Choose(now, zone.Zone{Name: "a"}, slices.Clone(servers), "")
+		sv := LeastExpectedLatency{}.Choose(now, zone.Zone{Name: "a"}, 0, slices.Clone(servers), "")
 		sv.State.InFlight.Add(1)
 	}
 	assert.Equal(t, servers[1].State.InFlight.Load(), int64(1), "a suspect server gets one part at a time")
@@ -258,7 +258,7 @@
 	servers[1].State.InFlight.Add(-1)
 	servers[1].State.RecordAnswer(now.Add(20*time.Millisecond), 5*time.Millisecond, 25)
 	before := slow.State.InFlight.Load()
-	sv := LeastExpectedLatency{}.Choose(now.Add(20*time.Millisecond), zone.Zone{Name: "a"}, slices.Clone(servers), "")
+	sv := LeastExpectedLatency{}.Choose(now.Add(20*time.Millisecond), zone.Zone{Name: "a"}, 0, slices.Clone(servers), "")
 	assert.Equal(t, sv.Name, "fast-1")
 	assert.Equal(t, slow.State.InFlight.Load(), before)
 }
--- a/internal/query/scatter/gather.go
+++ b/internal/query/scatter/gather.go
@@ -78,6 +78,8 @@
 	// possibleRuns counts the attempts that may have run.
 	possibleRuns int
 	startedAt    time.Time
+	// work is the expected server time of the part at usual speed, 0 if unknown.
+	work time.Duration
 	// hedgeAt is when a hedge is due.
 	hedgeAt time.Time
 	// hedgeDenied is set when the budget did not allow a hedge.
@@ -109,6 +111,9 @@
 	for i := range jb.Shards {
 		ga.parts[i].shard = &jb.Shards[i]
 		ga.parts[i].Record.Shard = jb.Shards[i].Name
+		if jb.Costs != nil {
+			ga.parts[i].work = jb.Costs.Expected(jb.Shards[i].Name)
+		}
 		maxResults += ga.maxSends(&jb.Shards[i])
 	}
 	// The buffer holds all possible results, so that no attempt blocks on it.
@@ -225,23 +230,23 @@
 	if limit := ga.job.Settings.MaxAttempts; limit > 0 && pt.possibleRuns >= limit {
 		return nil
 	}
-	sv := ga.chooseFrom(now, pt.shard.Replicas, pt.tried, avoid)
+	sv := ga.chooseFrom(now, pt.work, pt.shard.Replicas, pt.tried, avoid)
 	if sv == nil && len(pt.retryable) > 0 {
-		sv = ga.chooseFrom(now, pt.retryable, nil, avoid)
+		sv = ga.chooseFrom(now, pt.work, pt.retryable, nil, avoid)
 	}
 	return sv
 }
 
 // chooseFrom applies the replica policy to the servers that are not in except,
 // accept work and may have the data.
-func (ga *gather[R, H, S, M, A]) chooseFrom(now time.Time, servers, except []*machine.Server, avoid string) *machine.Server {
+func (ga *gather[R, H, S, M, A]) chooseFrom(now time.Time, work time.Duration, servers, except []*machine.Server, avoid string) *machine.Server {
 	ga.candidates = ga.candidates[:0]
 	for _, sv := range servers {
 		if !slices.Contains(except, sv) && ga.mayChoose(now, sv) {
 			ga.candidates = append(ga.candidates, sv)
 		}
 	}
-	return ga.engine.Replicas.Choose(now, ga.engine.Zone, ga.candidates, avoid)
+	return ga.engine.Replicas.Choose(now, ga.engine.Zone, work, ga.candidates, avoid)
 }
 
 // mayChoose reports whether a server accepts work and may have the data.
@@ -261,6 +266,7 @@
 	pt.Record.Attempts++
 	sv.State.InFlight.Add(1)
 	sv.State.PartsSent.Add(1)
+	sv.State.Work.Start(now, pt.work)
 	generation := ga.engine.Quarantine.NextGeneration(now, ga.job.Fingerprint, pt.shard.Name)
 	go ga.runAttempt(ctx, now, index, ga.attempts, sv, generation, ga.job.Message(pt.shard, ga.attempts))
 }
@@ -271,7 +277,11 @@
 	answer, err := ga.engine.Sender.Send(ctx, sv, message)
 	sv.State.InFlight.Add(-1)
 	now := time.Now()
+	sv.State.Work.End(sentAt, ga.parts[index].work)
 	ga.recordOutcome(now, sv, now.Sub(sentAt), err)
+	if ga.job.Costs != nil {
+		ga.recordWork(now, sentAt, &ga.parts[index], sv, err)
+	}
 	ga.recordSafety(now, ga.parts[index].shard.Name, sv, generation, err)
 	ga.results <- attemptResult[A]{part: index, number: number, answer: answer, err: err}
 }
@@ -292,6 +302,22 @@
 	}
 }
 
+// recordWork updates the expected work of the route and of the server after an attempt.
+func (ga *gather[R, H, S, M, A]) recordWork(now, sentAt time.Time, pt *partState[A], sv *machine.Server, err error) {
+	took := now.Sub(sentAt) - 2*ga.engine.Zone.Delay(sv.Zone)
+	least := sv.TimeInSlot(now, took)
+	if err != nil {
+		if cause, _ := causeOf(err); cause == contract.CauseCanceled || cause == contract.CauseDeadline {
+			sv.State.Work.ObserveSpeed(now, sentAt, least, math.MaxInt64, pt.work)
+		}
+		return
+	}
+	if least == took || pt.work == 0 {
+		ga.job.Costs.Record(now, pt.shard.Name, time.Duration(float64(took)/sv.State.Work.Slowness(now)))
+	}
+	sv.State.Work.ObserveSpeed(now, sentAt, least, took, pt.work)
+}
+
 // recordSafety updates the quarantine after an attempt: whether the server was lost while
 // it ran the request, or survived it.
 func (ga *gather[R, H, S, M, A]) recordSafety(now time.Time, shard string, sv *machine.Server, generation int, err error) {
--- a/internal/query/scatter/policy.go
+++ b/internal/query/scatter/policy.go
@@ -13,9 +13,10 @@
 // ReplicaPolicy chooses the replica that a part is sent to.
 type ReplicaPolicy interface {
 	// Choose returns one of the candidates, or nil if there is none. avoid is the
-	// zone of an attempt that is still in flight; empty if there is none. Choose
-	// may reorder the candidates.
-	Choose(now time.Time, own zone.Zone, candidates []*machine.Server, avoid string) *machine.Server
+	// zone of an attempt that is still in flight; empty if there is none. work is the
+	// expected server time of the part at usual speed, 0 if unknown. Choose may reorder
+	// the candidates.
+	Choose(now time.Time, own zone.Zone, work time.Duration, candidates []*machine.Server, avoid string) *machine.Server
 }
 
 // HedgePolicy decides when a part without an answer is sent a second time.
@@ -34,7 +35,7 @@
 type FirstReplica struct{}
 
 // Choose implements ReplicaPolicy.
-func (FirstReplica) Choose(_ time.Time, _ zone.Zone, candidates []*machine.Server, _ string) *machine.Server {
+func (FirstReplica) Choose(_ time.Time, _ zone.Zone, _ time.Duration, candidates []*machine.Server, _ string) *machine.Server {
 	if len(candidates) == 0 {
 		return nil
 	}
@@ -65,15 +66,8 @@
 const defaultLatency = 5 * time.Millisecond
 
 // Choose implements ReplicaPolicy. It breaks ties by name.
-func (LeastExpectedLatency) Choose(now time.Time, own zone.Zone, candidates []*machine.Server, avoid string) *machine.Server {
-	othersFull := !slices.ContainsFunc(candidates, func(sv *machine.Server) bool { return !sv.State.IsSuspect(now) && sv.HasRoom(now) })
-	candidates = preferred(candidates, func(sv *machine.Server) bool {
-		// While all other servers are full, a failed server gets one part at a time.
-		return !sv.State.IsSuspect(now) || othersFull && sv.State.InFlight.Load() == 0
-	})
-	if avoid != "" {
-		candidates = preferred(candidates, func(sv *machine.Server) bool { return sv.Zone != avoid })
-	}
+func (LeastExpectedLatency) Choose(now time.Time, own zone.Zone, _ time.Duration, candidates []*machine.Server, avoid string) *machine.Server {
+	candidates = preferredReplicas(now, candidates, avoid)
 	assumed := assumedLatency(candidates)
 	var best *machine.Server
 	var least time.Duration
@@ -86,6 +80,20 @@
 	return best
 }
 
+// preferredReplicas returns the candidates that did not fail recently and are not in the
+// zone to avoid, as far as there are any.
+func preferredReplicas(now time.Time, candidates []*machine.Server, avoid string) []*machine.Server {
+	othersFull := !slices.ContainsFunc(candidates, func(sv *machine.Server) bool { return !sv.State.IsSuspect(now) && sv.HasRoom(now) })
+	candidates = preferred(candidates, func(sv *machine.Server) bool {
+		// While all other servers are full, a failed server gets one part at a time.
+		return !sv.State.IsSuspect(now) || othersFull && sv.State.InFlight.Load() == 0
+	})
+	if avoid != "" {
+		candidates = preferred(candidates, func(sv *machine.Server) bool { return sv.Zone != avoid })
+	}
+	return candidates
+}
+
 // assumedLatency returns the latency to assume for servers that have not
 // answered yet. It is the highest known latency of the candidates, so that new
 // servers get work only when the others are loaded.
--- a/internal/query/scatter/start.go
+++ b/internal/query/scatter/start.go
@@ -23,7 +23,9 @@
 type StartAtOnce struct{}
 
 // MayStart implements StartPolicy.
-func (StartAtOnce) MayStart(time.Time, *machine.Server, time.Duration, bool) bool { return true }
+func (StartAtOnce) MayStart(time.Time, *machine.Server, time.Duration, bool) bool {
+	return true
+}
 
 // StartWithRoom sends a part to a server whose queue is short: a required part if the
 // server is below its in-flight limit and the part does not wait for too long to be in
@@ -196,5 +198,5 @@
 		return nil
 	}
 	count := moveToFront(ga.candidates, func(sv *machine.Server) bool { return ga.engine.Starts.MayStart(now, sv, left, true) })
-	return ga.engine.Replicas.Choose(now, ga.engine.Zone, ga.candidates[:count], "")
+	return ga.engine.Replicas.Choose(now, ga.engine.Zone, pt.work, ga.candidates[:count], "")
 }
--- a/internal/world/machine/state.go
+++ b/internal/world/machine/state.go
@@ -124,6 +124,8 @@
 	// LostSnapshot is the snapshot that the server last reported as missing, nil
 	// if there was none.
 	LostSnapshot atomic.Pointer[LostSnapshot]
+	// Work is the expected work of the server.
+	Work Work
 }
 
 // LostSnapshot is a snapshot that a server does not hold.
@@ -368,4 +370,5 @@
 func (st *ServerState) RecordLoad(now time.Time, load int) {
 	st.ReportedLoad.Store(int64(load))
 	st.ReportedAt.Store(now.UnixNano())
+	st.Work.RecordReport(int64(load))
 }
