Place forwarded requests by expected work where the settings ask for it

Cause: the policy existed only for the engine. Change: PlacesByWork builds an engine with ExpectedCompletion; routes keep the costs of their requests. TestOverload plays its loads with this policy, too, with the same bounds.

--- a/internal/node/forwardvm/process.go
+++ b/internal/node/forwardvm/process.go
@@ -231,16 +231,28 @@
 	ps.Cluster.Init()
 	ps.Service = &forward.Service{
 		Fleets: ps.Fleets, ConfirmedAt: ps.Cluster.ConfirmedAt, Quarantine: quarantine,
-		Engine: &scatter.Engine[scatter.LeastExpectedLatency, scatter.GoalHedge, scatter.StartWithRoom, forward.Attempt, forward.Answer]{
-			Sender: fe.NewSender(ps.Backend, ps.Fleets), Zone: zone.Zone{Name: cg.Zone, DefaultDelay: defaultZoneDelay},
-			Quarantine: quarantine, OnServerLost: ps.onServerLost,
-		},
+		Engine: ps.newEngine(fe, quarantine), PlacesByWork: cg.PlacesByWork,
 		Memory:   quota.NewPool(cg.MessageMemory()),
 		Budgets:  forward.NewBudgets(now, cg.Retries, len(cg.Peers)+1),
 		Observer: newObserver(ps.Log, ps.Metrics.Scope),
 	}
 }
 
+// newEngine returns the engine with the policies that the settings ask for.
+func (ps *Process) newEngine(fe FrontEnd, quarantine *contract.Quarantine) forward.Runner {
+	if ps.Config.PlacesByWork {
+		return newEngineOf[scatter.ExpectedCompletion](ps, fe, quarantine)
+	}
+	return newEngineOf[scatter.LeastExpectedLatency](ps, fe, quarantine)
+}
+
+func newEngineOf[R scatter.ReplicaPolicy](ps *Process, fe FrontEnd, quarantine *contract.Quarantine) forward.Runner {
+	return &scatter.Engine[R, scatter.GoalHedge, scatter.StartWithRoom, forward.Attempt, forward.Answer]{
+		Sender: fe.NewSender(ps.Backend, ps.Fleets), Zone: zone.Zone{Name: ps.Config.Zone, DefaultDelay: defaultZoneDelay},
+		Quarantine: quarantine, OnServerLost: ps.onServerLost,
+	}
+}
+
 // onServerLost logs that a server's connection broke while it ran a request,
 // and passes the crash on to the peers without waiting for the next heartbeat.
 func (ps *Process) onServerLost(now time.Time, fingerprint uint64, server string) {
--- a/internal/node/forwardvm/upkeep.go
+++ b/internal/node/forwardvm/upkeep.go
@@ -152,6 +152,7 @@
 	}
 	ps.load.Store(smoothLoad(ps.load.Load(), ps.Service.AttemptsSent.Swap(0)))
 	ps.divideShares(now)
+	ps.Service.ForgetCosts(now)
 	ps.publishGauges(now)
 	ps.Backend.Prune(func(name, address string) bool {
 		sv := ps.Fleets.Load().Servers[name]
--- a/internal/query/forward/forward.go
+++ b/internal/query/forward/forward.go
@@ -114,6 +114,7 @@
 // routeState is the state of a route that outlives changes of configuration.
 type routeState struct {
 	latency  *link.Latency
+	costs    contract.RouteCosts
 	splitter contract.Splitter
 	outage   outage
 	overload overload
@@ -127,6 +128,8 @@
 	ConfirmedAt func() time.Time
 	Quarantine  *contract.Quarantine
 	Engine      Runner
+	// PlacesByWork is set if the engine's policies use the expected work.
+	PlacesByWork bool
 	Budgets     *Budgets
 	Observer    Observer
 	// Memory is shared by the bodies of all calls and answers in flight.
@@ -261,6 +264,9 @@
 		Latency:  rn.state.latency,
 		Deadline: rn.partsDeadline,
 	}
+	if sv.PlacesByWork {
+		jb.Costs = &rn.state.costs
+	}
 	for i, name := range services {
 		budget := sv.Budgets.ForService(name)
 		budget.CountRequest(now)
@@ -398,6 +404,15 @@
 	})
 }
 
+// ForgetCosts forgets the expected work of requests that are no longer sent. The owner
+// calls it now and then.
+func (sv *Service) ForgetCosts(now time.Time) {
+	sv.routes.Range(func(_, value any) bool {
+		value.(*routeState).costs.Forget(now)
+		return true
+	})
+}
+
 // IsReady reports whether calls can be answered: a configuration and at least
 // one server are known.
 func (sv *Service) IsReady() bool {
--- a/internal/query/scatter/load_test.go
+++ b/internal/query/scatter/load_test.go
@@ -151,7 +151,7 @@
 }
 
 // play plays a load, and returns what the callers got.
-func play[S StartPolicy](t *testing.T, plan loadPlan, seed uint64) loadOutcome {
+func play[R ReplicaPolicy, S StartPolicy](t *testing.T, plan loadPlan, seed uint64) loadOutcome {
 	t.Helper()
 	var lo loadOutcome
 	synctest.Test(t, func(t *testing.T) {
@@ -179,16 +179,17 @@
 			return time.Duration(float64(plan.workTime) * math.Exp(0.35*workRnd.NormFloat64()-0.06))
 		}
 		type entryVM struct {
-			engine *Engine[LeastExpectedLatency, GoalHedge, S, string, string]
+			engine *Engine[R, GoalHedge, S, string, string]
 			shards []Shard
 			budget *shareBudget
 			recent *link.Latency
+			costs  contract.RouteCosts
 		}
 		vms := make([]*entryVM, plan.entryVMs)
 		for i := range vms {
 			vm := &entryVM{budget: &shareBudget{share: 0.1}, recent: link.NewLatency()}
 			zn := fmt.Sprintf("zone-%d", i%loadZones)
-			vm.engine = &Engine[LeastExpectedLatency, GoalHedge, S, string, string]{
+			vm.engine = &Engine[R, GoalHedge, S, string, string]{
 				Sender: &loadSender{zone: zn, servers: servers, random: work}, Zone: zone.Zone{Name: zn, DefaultDelay: loadDelay},
 				Quarantine: contract.NewQuarantine(),
 			}
@@ -226,7 +227,7 @@
 				now := time.Now()
 				vm.budget.sends.Add(int64(plan.shards))
 				jb := &Job[string]{
-					Fingerprint: 7, Latency: vm.recent, Deadline: now.Add(plan.deadline), Shards: vm.shards,
+					Fingerprint: 7, Latency: vm.recent, Costs: &vm.costs, Deadline: now.Add(plan.deadline), Shards: vm.shards,
 					PartialAfter: now.Add(plan.goal - 14*time.Millisecond),
 					Message:      func(sh *Shard, _ int32) string { return sh.Name },
 					Settings: JobSettings{
@@ -325,11 +326,15 @@
 		deadline: 2500 * time.Millisecond, minCoverage: 0.89, rate: 150, length: 3 * time.Second,
 	}
 	tt.change(&plan)
-	baseline, lo := play[StartAtOnce](t, plan, 1), play[StartWithRoom](t, plan, 1)
+	baseline, lo := play[LeastExpectedLatency, StartAtOnce](t, plan, 1), play[LeastExpectedLatency, StartWithRoom](t, plan, 1)
+	byWork := play[ExpectedCompletion, StartWithRoom](t, plan, 1)
 	t.Logf("at once:   %s", baseline)
 	t.Logf("with room: %s", lo)
-	assert.Assert(t, lo.share(lo.inTime) >= tt.goodput)
-	assert.Assert(t, lo.worth >= tt.worth)
-	assert.Assert(t, lo.worth >= baseline.worth-0.01)
-	assert.Assert(t, lo.share(lo.lateRefusals) <= 0.01)
+	t.Logf("by work:   %s", byWork)
+	for _, got := range []loadOutcome{lo, byWork} {
+		assert.Assert(t, got.share(got.inTime) >= tt.goodput)
+		assert.Assert(t, got.worth >= tt.worth)
+		assert.Assert(t, got.worth >= baseline.worth-0.01)
+		assert.Assert(t, got.share(got.lateRefusals) <= 0.01)
+	}
 }
