--- a/internal/world/machine/slowdown_test.go
+++ b/internal/world/machine/slowdown_test.go
@@ -60,6 +60,9 @@
 	assert.Equal(t, silent.ExpectedWait(now), usual.ExpectedWait(now))
 	assert.Assert(t, slowed.ExpectedLatency(now, time.Millisecond) > 2*usual.ExpectedLatency(now, time.Millisecond))
 	assert.Assert(t, slowed.ExpectedWait(now) > 2*usual.ExpectedWait(now))
+	const work = 8 * time.Millisecond
+	assert.Equal(t, silent.ExpectedCompletion(now, work), usual.ExpectedCompletion(now, work))
+	assert.Assert(t, slowed.ExpectedCompletion(now, work) > 2*usual.ExpectedCompletion(now, work))
 	later := now.Add(maxSlowdownAge)
 	assert.Equal(t, slowed.ExpectedLatency(later, time.Millisecond), usual.ExpectedLatency(later, time.Millisecond))
 }
