Let the largest VMs of a zone be its hubs and watch the platform

Cause: hubs and watchers were the first VMs by name, and "frontend-x-10" comes before "frontend-x-2". The VMs of a zone pull changes from their hubs: a configuration that grew by 1,400 routes held up its link, with requests and later changes behind it.

Change: hubs and watchers are the largest VMs, as those selected for callers.

Evidence: TestLargestVMsServePeers fails before (vm-1 and vm-10).

--- a/internal/world/machine/hubs.go
+++ b/internal/world/machine/hubs.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 	"time"
 )
 
@@ -16,7 +15,9 @@
 )
 
 // Hubs returns the entry VMs that collect the heartbeats of a zone and pass its
-// membership on: the first ones by name that are live and not leaving.
+// membership on: the largest ones that are live and not leaving. The others pull changes
+// from them: a large configuration would hold up the link of a small VM for seconds, and
+// the changes behind it.
 func Hubs(now time.Time, zone string, vms []EntryVM) []EntryVM {
 	var hubs []EntryVM
 	for _, vm := range vms {
@@ -24,7 +25,7 @@
 			hubs = append(hubs, vm)
 		}
 	}
-	slices.SortFunc(hubs, func(a, b EntryVM) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(hubs, compareSize)
 	return hubs[:min(len(hubs), hubsPerZone)]
 }
 
--- a/internal/world/machine/selection.go
+++ b/internal/world/machine/selection.go
@@ -78,9 +78,7 @@
 	for _, vm := range vms {
 		needed += uint64(vm.Load) * headroom
 	}
-	slices.SortFunc(vms, func(a, b EntryVM) int {
-		return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), strings.Compare(a.Name, b.Name))
-	})
+	slices.SortFunc(vms, compareSize)
 	capacity := uint64(0)
 	for i, vm := range vms {
 		if capacity >= needed && i >= minSelected {
@@ -91,6 +89,11 @@
 	return vms
 }
 
+// compareSize orders entry VMs by their capacity, the largest first, and by name.
+func compareSize(a, b EntryVM) int {
+	return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), strings.Compare(a.Name, b.Name))
+}
+
 // SelectedNames returns the names of the entry VMs that SelectEntryVMs returns for
 // at least one zone.
 func SelectedNames(now time.Time, vms []EntryVM) map[string]bool {
--- a/internal/world/machine/selection_test.go
+++ b/internal/world/machine/selection_test.go
@@ -157,3 +157,21 @@
 		}
 	}
 }
+
+// TestLargestVMsServePeers guards against small VMs in the roles in which the others of a
+// zone pull changes from a VM: with names alone, "vm-10" comes before "vm-2", and its link
+// holds up each change behind a large configuration.
+func TestLargestVMsServePeers(t *testing.T) {
+	var vms []EntryVM
+	for i := range 12 {
+		vm := EntryVM{Name: fmt.Sprintf("vm-%d", i+1), Zone: "zone-a", Version: 1, Capacity: 500, LastHeartbeat: now}
+		if i == 1 || i == 2 {
+			vm.Capacity = 3000
+		}
+		vms = append(vms, vm)
+	}
+	assert.Equal(t, names(Hubs(now, "zone-a", vms)), "vm-2 vm-3 ")
+	assert.Equal(t, names(Watchers(now, vms)), "vm-2 vm-3 ")
+	vms[1].Leaving = true
+	assert.Equal(t, names(Hubs(now, "zone-a", vms)), "vm-3 vm-1 ")
+}
--- a/internal/world/machine/watchers.go
+++ b/internal/world/machine/watchers.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 	"time"
 )
 
@@ -11,12 +10,13 @@
 const singleZoneWatchers = 2
 
 // Watchers returns the entry VMs that watch the platform on behalf of all: in each
-// zone the first one by name that is live, not leaving and reaches the platform.
+// zone the largest one that is live, not leaving and reaches the platform. Others pull
+// changes from it.
 func Watchers(now time.Time, vms []EntryVM) []EntryVM {
 	eligible := slices.DeleteFunc(slices.Clone(vms), func(vm EntryVM) bool {
 		return !vm.IsLive(now) || vm.Leaving || vm.PlatformUnreachable
 	})
-	slices.SortFunc(eligible, func(a, b EntryVM) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(eligible, compareSize)
 	var chosen []EntryVM
 	taken := map[string]bool{}
 	for _, vm := range eligible {
