--- /dev/null
+++ b/internal/world/contract/ratehandover.go
@@ -0,0 +1,108 @@
+package contract
+
+import (
+	"slices"
+	"time"
+)
+
+// RateClaim asks the former owner of a key for its bucket.
+type RateClaim struct {
+	Key     RateKey
+	Rate    SharedRate
+	Version int64
+}
+
+// RateHandover is the answer to a claim.
+type RateHandover struct {
+	// Done is set if the sender of the claim is the owner now.
+	Done bool
+	// Level is the number of tokens in the bucket, Leased that in leases which may not
+	// have ended, and Part the part of the rate that was granted.
+	Level, Leased, Part float64
+	// Owner names the owner as known to the receiver, if the claim must go there.
+	Owner string
+}
+
+// PreviousOwner returns the VM that owned a key before this process, which may hold its
+// bucket; empty if there is none or this process has a bucket.
+func (ro *RateOwner) PreviousOwner(key RateKey) string {
+	ro.lock.Lock()
+	defer ro.lock.Unlock()
+	if len(ro.places) == 0 || ro.keys[key] != nil {
+		return ""
+	}
+	for _, place := range slices.Backward(ro.places) {
+		if owner := key.OwnerAmong(place.owners); owner != ro.self {
+			return owner
+		}
+	}
+	// This process has owned the key for as long as it knows. Before its start, the
+	// owner was the next VM.
+	return key.OwnerAmong(slices.DeleteFunc(slices.Clone(ro.owners()), func(vm string) bool { return vm == ro.self }))
+}
+
+// HandOver answers the claim of a VM that became the owner of a key. After it, this process
+// grants no tokens of the key.
+func (ro *RateOwner) HandOver(now time.Time, claimer string, claim RateClaim) RateHandover {
+	ro.lock.Lock()
+	defer ro.lock.Unlock()
+	if !ro.isCurrent(now) {
+		return RateHandover{}
+	}
+	if handed, ok := ro.handed[claim.Key]; ok && handed.owner != claimer {
+		return RateHandover{Owner: handed.owner}
+	}
+	others := slices.DeleteFunc(slices.Clone(ro.owners()), func(vm string) bool { return vm == claimer })
+	if claim.Key.OwnerAmong(append(slices.Clone(others), claimer)) != claimer {
+		return RateHandover{Owner: claim.Key.OwnerAmong(others)}
+	}
+	owned := ro.bucketFor(now, claimer, claim)
+	if owned == nil {
+		if owner := claim.Key.OwnerAmong(others); owner != ro.self {
+			return RateHandover{Owner: owner}
+		}
+		return RateHandover{}
+	}
+	ro.fill(now, claim.Key, owned)
+	delete(ro.keys, claim.Key)
+	ro.handed[claim.Key] = handedRate{claimer, now}
+	return RateHandover{Done: true, Level: owned.level, Leased: owned.outstanding(now), Part: owned.part}
+}
+
+// bucketFor returns the bucket that a claim is about, nil if this process has none: it was
+// not the owner before the claimer, or may not grant yet.
+func (ro *RateOwner) bucketFor(now time.Time, claimer string, claim RateClaim) *ownedRate {
+	if owned := ro.keys[claim.Key]; owned != nil {
+		return owned
+	}
+	places := make([]ownerPlace, 0, len(ro.places))
+	for _, place := range ro.places {
+		others := slices.DeleteFunc(slices.Clone(place.owners), func(vm string) bool { return vm == claimer })
+		places = append(places, ownerPlace{place.at, others})
+	}
+	if owned := ro.bucketOf(now, claim.Key, claim.Rate, places); owned != nil {
+		return owned
+	}
+	// A VM that is leaving is no owner any more, and was one until the last change.
+	if last := ro.places[len(ro.places)-1]; len(places) > 1 && now.Sub(last.at) < releasedFor {
+		return ro.bucketOf(now, claim.Key, claim.Rate, places[:len(places)-1])
+	}
+	return nil
+}
+
+// Accept takes over a bucket that was claimed.
+func (ro *RateOwner) Accept(now time.Time, claim RateClaim, handover RateHandover) {
+	ro.lock.Lock()
+	defer ro.lock.Unlock()
+	if !handover.Done || ro.keys[claim.Key] != nil || !ro.isCurrent(now) {
+		return
+	}
+	owned := &ownedRate{
+		rate: claim.Rate, version: claim.Version, level: handover.Level, filledAt: now, usedAt: now,
+		part: handover.Part, senders: map[string]*rateSender{},
+	}
+	owned.advance(now)
+	owned.grants[owned.step%(leaseSteps+1)] = handover.Leased
+	ro.keys[claim.Key] = owned
+	delete(ro.handed, claim.Key)
+}
--- a/internal/world/contract/sharedrate.go
+++ b/internal/world/contract/sharedrate.go
@@ -47,3 +47,98 @@
 	Overage float64 `json:"overage"`
 	Slack   float64 `json:"slack"`
 }
+
+const (
+	// RateLease is how long granted tokens may be spent, counted from the time at which
+	// the request for them was sent. It is a tenth of the usual window, so that tokens
+	// granted before a window and spent in it fit into the usual overage.
+	RateLease = 500 * time.Millisecond
+	// RateInterval is the time between two requests for the tokens of a key: two fit
+	// into a lease, so that one lost message does not end it.
+	RateInterval = 250 * time.Millisecond
+	// RateSettle is how long an owner waits after a change that another VM may see later:
+	// for the leases of the previous owner, and for news of the change, which takes up
+	// to three rounds of heartbeats less the time that it took to come here.
+	RateSettle = 2 * time.Second
+	// usableAdvances is the share of the tolerance beyond that of the leases which the
+	// advances use. The rest is for requests that wait between their admission and
+	// their first send.
+	usableAdvances = 0.7
+	// minAdvances is the least number of tokens in a window for which a VM spends
+	// advances: fewer VMs spend them if there is less for each. One token can be spent
+	// at once, and half a token returns in a window.
+	minAdvances = 1.5
+	// advanceBurst is the part of a VM's advances that it may spend at once; the rest
+	// refills in a window. As the bucket of a new process is empty, the advances in a
+	// window are bounded whatever the number of restarts.
+	advanceBurst = 0.6
+)
+
+// grantRate returns the tokens a second that an owner grants. A token may be spent until
+// RateLease after the grant, so a window contains the tokens of a longer time, which must
+// fit into the overage.
+func (qb QuotaBounds) grantRate(rate SharedRate) float64 {
+	window := qb.Window.Seconds()
+	return rate.PerSecond * min(1, window*(1+qb.Overage)/(window+RateLease.Seconds()))
+}
+
+// Allowed returns the number of requests that may run in any window.
+func (qb QuotaBounds) Allowed(rate SharedRate) float64 {
+	return (rate.PerSecond*qb.Window.Seconds()+rate.Burst)*(1+qb.Overage) + qb.Slack
+}
+
+// advances returns the number of tokens that all VMs together may spend in a window
+// without a lease: usableAdvances of what the leases leave.
+func (qb QuotaBounds) advances(rate SharedRate) float64 {
+	leased := qb.grantRate(rate)*(qb.Window+RateLease).Seconds() + max(rate.Burst, 1)
+	return max(0, usableAdvances*(qb.Allowed(rate)-leased))
+}
+
+// RateBounds holds the tolerances of all kinds of shared rates.
+type RateBounds struct {
+	Customers   QuotaBounds
+	ColdServers QuotaBounds
+}
+
+// Bounds returns the tolerance with which the limits of cold servers hold.
+func (wb WarmUpBounds) Bounds() QuotaBounds {
+	return QuotaBounds{Window: time.Second, Overage: max(wb.Overage-1, 0), Slack: wb.Slack}
+}
+
+// of returns the tolerance of a kind.
+func (rb RateBounds) of(kind RateKind) QuotaBounds {
+	if kind == RateOfColdServer {
+		return rb.ColdServers
+	}
+	return rb.Customers
+}
+
+// RateDemand is what a VM used and needs of one shared rate.
+type RateDemand struct {
+	Key RateKey
+	// Rate is the rate in force at the sender, and Version that of the configuration
+	// which sets it; 0 if the configuration does not.
+	Rate    SharedRate
+	Version int64
+	// Wanted is the number of tokens that the sender needs until its next request.
+	Wanted int64
+	// Returned and Advanced count the tokens of leases that were not used and the
+	// tokens spent without a lease, since the sender started. As totals, they have the
+	// same effect if a message is lost, doubled or late.
+	Returned int64
+	Advanced int64
+	// AdvancedKnown is the part of Advanced that an owner has confirmed.
+	AdvancedKnown int64
+}
+
+// RateGrant is the answer to one demand.
+type RateGrant struct {
+	Tokens int64
+	// Wait is the time between two tokens for the sender if it needs more than it got;
+	// 0 if it got what it wanted.
+	Wait time.Duration
+	// Owner names the owner as known to the receiver of the demand, if it is another.
+	Owner string
+	// Pending is set if the receiver is the owner, but may not grant yet.
+	Pending bool
+}
