--- a/internal/world/contract/rateshare.go
+++ b/internal/world/contract/rateshare.go
@@ -15,9 +15,6 @@
 	maxRateKeys = 200_000
 	// rateIdle is how long a key is known after its last use.
 	rateIdle = 10 * time.Second
-	// minAskGap is the least time between two requests for tokens of one key, if the
-	// first one got what it wanted.
-	minAskGap = 10 * time.Millisecond
 	// demandMargin is the factor by which more tokens are requested than were used, and
 	// demandDecay the factor by which the expected use falls in each interval.
 	demandMargin = 1.25
@@ -345,10 +342,8 @@
 	switch {
 	case len(rs.place.Load().Owners) == 0:
 		return false
-	case answer == nil || answer.redirect != "":
+	case answer == nil || answer.redirect != "" || answer.isFull:
 		return true
-	case answer.isFull:
-		return now.Sub(answer.at) >= minAskGap
 	}
 	return now.Sub(answer.at) >= RateInterval
 }
@@ -364,16 +359,24 @@
 	slot *rateSlot
 }
 
-// Ask returns a request for tokens of a key for which a request waits, and whether it is
-// new, so that the caller must send it; otherwise it is in flight. It is nil if there is
-// no owner.
+// Await counts a request that waits for a token of a key, and returns a function that ends
+// the wait.
+func (rs *RateShare) Await(now time.Time, key RateKey) func() {
+	slot := rs.slotOf(now, key)
+	if slot == nil {
+		return func() {}
+	}
+	slot.waiting.Add(1)
+	return func() { slot.waiting.Add(-1) }
+}
+
+// Ask returns a request for tokens of a key, and whether it is new, so that the caller
+// must send it; otherwise it is in flight. It is nil if there is no owner, or nobody waits.
 func (rs *RateShare) Ask(now time.Time, key RateKey) (ask *RateAsk, isNew bool) {
 	slot, ok := rs.keys[key.Kind].Load().Get(key.Name)
 	if !ok {
 		return nil, false
 	}
-	slot.waiting.Add(1)
-	defer slot.waiting.Add(-1)
 	if ask := slot.asking.Load(); ask != nil {
 		return ask, false
 	}
--- /dev/null
+++ b/internal/world/contract/rateworld_test.go
@@ -0,0 +1,282 @@
+package contract_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"daisystage.example/daisystage/internal/world/contract"
+	"daisystage.example/daisystage/internal/world/machine"
+)
+
+// rateWorld plays entry VMs that share rates, without a network: messages are calls that
+// are made later, or never. Its clock counts suspended time.
+type rateWorld struct {
+	now    time.Time
+	random *rand.Rand
+	events rateEvents
+	vms    []*ratePlayer
+	rates  map[string]contract.SharedRate
+	bounds contract.QuotaBounds
+	// isCut reports whether no message passes between two VMs.
+	isCut func(a, b *ratePlayer) bool
+	// lost and doubled are the shares of messages, delay is the longest delay.
+	lost, doubled float64
+	delay         time.Duration
+	// admitted holds the times at which requests were admitted, by customer.
+	admitted map[string][]time.Time
+	refused  map[string][]time.Time
+	messages int
+}
+
+type ratePlayer struct {
+	name, zone  string
+	capacity    uint32
+	incarnation uint64
+	startedAt   time.Time
+	holderSince time.Time
+	alive       bool
+	leaving     bool
+	frozenUntil time.Time
+	heard       map[string]machine.EntryVM
+	vms         machine.RateVMs
+	share       *contract.RateShare
+	owner       *contract.RateOwner
+}
+
+type rateEvent struct {
+	at    time.Time
+	order int
+	do    func()
+}
+
+type rateEvents []rateEvent
+
+func (re rateEvents) Len() int { return len(re) }
+func (re rateEvents) Less(i, j int) bool {
+	return re[i].at.Before(re[j].at) || re[i].at.Equal(re[j].at) && re[i].order < re[j].order
+}
+func (re rateEvents) Swap(i, j int) { re[i], re[j] = re[j], re[i] }
+func (re *rateEvents) Push(x any)   { *re = append(*re, x.(rateEvent)) }
+func (re *rateEvents) Pop() any {
+	last := (*re)[len(*re)-1]
+	*re = (*re)[:len(*re)-1]
+	return last
+}
+
+var quotaBounds = contract.QuotaBounds{Window: 5 * time.Second, Overage: 0.1, Slack: 20}
+
+func newRateWorld(seed uint64, count int, rates map[string]contract.SharedRate) *rateWorld {
+	rw := &rateWorld{
+		now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(seed, 1)), rates: rates, bounds: quotaBounds,
+		isCut: func(_, _ *ratePlayer) bool { return false }, delay: 10 * time.Millisecond,
+		admitted: map[string][]time.Time{}, refused: map[string][]time.Time{},
+	}
+	for i := range count {
+		vm := &ratePlayer{name: fmt.Sprintf("vm-%02d", i), zone: fmt.Sprintf("zone-%d", i%3), capacity: uint32(1000 + i/9)}
+		rw.vms = append(rw.vms, vm)
+		rw.start(vm)
+	}
+	return rw
+}
+
+func (rw *rateWorld) after(delay time.Duration, do func()) {
+	heap.Push(&rw.events, rateEvent{rw.now.Add(delay), rw.random.IntN(1 << 30), do})
+}
+
+func (rw *rateWorld) run(until time.Duration) {
+	end := rw.now.Add(until)
+	for len(rw.events) > 0 && !rw.events[0].at.After(end) {
+		event := heap.Pop(&rw.events).(rateEvent)
+		rw.now = event.at
+		event.do()
+	}
+	rw.now = end
+}
+
+// at runs something on a VM after a delay, after its thaw if it is frozen, and not if the
+// process has ended.
+func (rw *rateWorld) at(vm *ratePlayer, delay time.Duration, do func()) {
+	incarnation := vm.incarnation
+	rw.after(delay, func() {
+		if !vm.alive || vm.incarnation != incarnation {
+			return
+		}
+		if frozen := vm.frozenUntil.Sub(rw.now); frozen > 0 {
+			rw.at(vm, frozen, do)
+			return
+		}
+		do()
+	})
+}
+
+// send makes a call on another VM after a delay, never if the message is lost, twice if it
+// is doubled.
+func (rw *rateWorld) send(from, to *ratePlayer, do func()) {
+	rw.messages++
+	copies := 1
+	if rw.random.Float64() < rw.doubled {
+		copies = 2
+	}
+	for range copies {
+		if rw.isCut(from, to) || rw.random.Float64() < rw.lost || !to.alive {
+			continue
+		}
+		rw.at(to, time.Duration(rw.random.Int64N(int64(rw.delay)+1)), do)
+	}
+}
+
+func (rw *rateWorld) start(vm *ratePlayer) {
+	vm.incarnation++
+	vm.alive, vm.leaving, vm.startedAt, vm.holderSince, vm.frozenUntil = true, false, rw.now, rw.now, time.Time{}
+	vm.heard = map[string]machine.EntryVM{}
+	vm.vms = machine.RateVMs{}
+	bounds := contract.RateBounds{Customers: rw.bounds}
+	vm.share, vm.owner = contract.NewRateShare(bounds), contract.NewRateOwner(bounds)
+	rw.at(vm, 0, func() { rw.beat(vm) })
+	rw.at(vm, 10*time.Millisecond, func() { rw.tick(vm) })
+}
+
+// beat sends heartbeats to all VMs once a second.
+func (rw *rateWorld) beat(vm *ratePlayer) {
+	record := machine.EntryVM{
+		Name: vm.name, Zone: vm.zone, Capacity: vm.capacity, Incarnation: vm.incarnation, Leaving: vm.leaving, Version: 1, LastHeartbeat: rw.now,
+	}
+	for _, other := range rw.vms {
+		if other == vm {
+			continue
+		}
+		if rw.isCut(vm, other) || !other.alive || rw.random.Float64() < rw.lost {
+			continue
+		}
+		// In a large cluster the news passes through hubs.
+		rw.at(other, time.Duration(rw.random.Int64N(int64(1500*time.Millisecond))), func() {
+			if have, ok := other.heard[vm.name]; !ok || have.LastHeartbeat.Before(record.LastHeartbeat) {
+				other.heard[vm.name] = record
+			}
+		})
+	}
+	rw.at(vm, time.Second, func() { rw.beat(vm) })
+}
+
+func (rw *rateWorld) tick(vm *ratePlayer) {
+	members := []machine.EntryVM{{Name: vm.name, Zone: vm.zone, Capacity: vm.capacity, Leaving: vm.leaving, Version: 1, LastHeartbeat: rw.now}}
+	for _, record := range vm.heard {
+		members = append(members, record)
+	}
+	placement := vm.vms.Update(rw.now, members, len(rw.vms) > 1)
+	place := &contract.RatePlace{
+		Self: vm.name, Owners: placement.Owners, Holders: placement.Holders, HolderSince: vm.holderSince,
+		Part: placement.Part, Ready: rw.now.Sub(vm.startedAt) > 3*time.Second,
+	}
+	if !place.Ready {
+		place.Holders = nil
+	}
+	if !slices.Contains(place.Holders, vm.name) {
+		vm.holderSince = rw.now
+	}
+	vm.share.SetPlace(place)
+	vm.owner.Update(rw.now, place)
+	asks, _ := vm.share.NextAsks(rw.now)
+	for _, ask := range asks {
+		rw.ask(vm, ask)
+	}
+	rw.at(vm, contract.RateInterval, func() { rw.tick(vm) })
+}
+
+func (rw *rateWorld) find(name string) *ratePlayer {
+	return rw.vms[slices.IndexFunc(rw.vms, func(vm *ratePlayer) bool { return vm.name == name })]
+}
+
+// ask sends a request for tokens. Its answer may be doubled or come after the request was
+// given up.
+func (rw *rateWorld) ask(vm *ratePlayer, ask *contract.RateAsk) {
+	owner := rw.find(ask.Owner)
+	reply := func(grant contract.RateGrant) {
+		rw.send(owner, vm, func() { vm.share.Apply(rw.now, ask, grant) })
+	}
+	incarnation := vm.incarnation
+	answer := func() {
+		grant := owner.owner.Grant(rw.now, vm.name, incarnation, []contract.RateDemand{ask.Demand})[0]
+		previous := owner.owner.PreviousOwner(ask.Demand.Key)
+		if !grant.Pending || previous == "" {
+			reply(grant)
+			return
+		}
+		rw.claim(owner, rw.find(previous), ask, incarnation, vm, reply)
+	}
+	if owner == vm {
+		answer()
+	} else {
+		rw.send(vm, owner, answer)
+	}
+	rw.at(vm, 400*time.Millisecond, func() { vm.share.Fail(rw.now, ask) })
+}
+
+func (rw *rateWorld) claim(owner, previous *ratePlayer, ask *contract.RateAsk, incarnation uint64, vm *ratePlayer, reply func(contract.RateGrant)) {
+	claim := contract.RateClaim{Key: ask.Demand.Key, Rate: ask.Demand.Rate, Version: ask.Demand.Version}
+	rw.send(owner, previous, func() {
+		handover := previous.owner.HandOver(rw.now, owner.name, claim)
+		rw.send(previous, owner, func() {
+			owner.owner.Accept(rw.now, claim, handover)
+			reply(owner.owner.Grant(rw.now, vm.name, incarnation, []contract.RateDemand{ask.Demand})[0])
+		})
+	})
+}
+
+// request plays one request of a customer. Without a token it waits for the owner once.
+func (rw *rateWorld) request(vm *ratePlayer, customer string) {
+	key, rate := contract.RateKey{Kind: contract.RateOfCustomer, Name: customer}, rw.rates[customer]
+	if vm.share.TryTake(rw.now, key, rate) {
+		rw.admitted[customer] = append(rw.admitted[customer], rw.now)
+		return
+	}
+	deadline := rw.now.Add(150 * time.Millisecond)
+	end := vm.share.Await(rw.now, key)
+	var ask *contract.RateAsk
+	var wait func()
+	wait = func() {
+		if ask != nil {
+			select {
+			case <-ask.Done:
+				ask = nil
+				if vm.share.RetryTake(rw.now, key, rw.rates[customer]) {
+					end()
+					rw.admitted[customer] = append(rw.admitted[customer], rw.now)
+					return
+				}
+			default:
+			}
+		}
+		if ask == nil && vm.share.ShouldAsk(rw.now, key) {
+			var isNew bool
+			if ask, isNew = vm.share.Ask(rw.now, key); isNew {
+				rw.ask(vm, ask)
+			}
+		}
+		if ask == nil || rw.now.After(deadline) {
+			end()
+			rw.refused[customer] = append(rw.refused[customer], rw.now)
+			return
+		}
+		rw.at(vm, 5*time.Millisecond, wait)
+	}
+	wait()
+}
+
+// worst returns by how much the requests of a customer in any window exceed what is
+// allowed at most; negative if they do not.
+func (rw *rateWorld) worst(customer string) float64 {
+	times := rw.admitted[customer]
+	slices.SortFunc(times, time.Time.Compare)
+	most, first := 0, 0
+	for last := range times {
+		for times[last].Sub(times[first]) >= rw.bounds.Window {
+			first++
+		}
+		most = max(most, last-first+1)
+	}
+	return float64(most) - rw.bounds.Allowed(rw.rates[customer])
+}
--- a/internal/world/machine/ratevms.go
+++ b/internal/world/machine/ratevms.go
@@ -52,18 +52,23 @@
 		zones[known.vm.Zone] = append(zones[known.vm.Zone], known.vm)
 	}
 	var rp RatePlacement
+	staying := 0
 	for _, vms := range zones {
 		for _, vm := range largestVMs(vms)[:min(len(vms), ratesPerZone)] {
 			rp.Holders = append(rp.Holders, vm.Name)
-			if known := rv.known[vm.Name]; known.readyAt.Equal(now) {
+			known := rv.known[vm.Name]
+			if known.readyAt.Equal(now) {
 				rp.Owners = append(rp.Owners, vm.Name)
 			}
+			if known.leftAt.IsZero() {
+				staying++
+			}
 		}
 	}
 	slices.Sort(rp.Holders)
 	slices.Sort(rp.Owners)
-	if len(rp.Holders) > 0 && (len(rv.known) > 1 || !hasPeers) {
-		rp.Part = ratePart(float64(len(rp.Owners)) / float64(len(rp.Holders)))
+	if staying > 0 && (len(rv.known) > 1 || !hasPeers) {
+		rp.Part = ratePart(float64(len(rp.Owners)) / float64(staying))
 	}
 	return rp
 }
