--- a/internal/node/entryvm/process.go
+++ b/internal/node/entryvm/process.go
@@ -232,7 +232,7 @@
 	if err != nil {
 		return fmt.Errorf("listen on entry_address: %w", err)
 	}
-	ps.grpc = entry.NewServer(ps.Cluster)
+	ps.grpc = entry.NewServer(ps.Cluster, nil)
 	ps.group.Go(func() { _ = ps.grpc.Serve(ls) })
 	ps.group.Cleanup(ps.grpc.Stop)
 	return nil
--- a/internal/node/events/events.go
+++ b/internal/node/events/events.go
@@ -57,6 +57,7 @@
 	AnswerRefused = Event{502, "answer_refused", zapcore.WarnLevel}
 	AnswerUnknown = Event{503, "answer_unknown", zapcore.ErrorLevel}
 	AnswerWhole   = Event{504, "answer_whole", zapcore.InfoLevel}
+	OverLimit     = Event{505, "over_limit", zapcore.WarnLevel}
 
 	SettingAccepted = Event{601, "setting_accepted", zapcore.InfoLevel}
 	SettingRefused  = Event{602, "setting_refused", zapcore.WarnLevel}
@@ -70,7 +71,7 @@
 		WatchFailed, OlderObjectRefused, BadObjectRefused, StaleStore, ReceiptsDropped, ReceiptsWriteFailed, ClaimsSwept,
 		PeerFailed, PeerJoined, PeerSilent, Isolated, Confirmed, PulledFromPeer,
 		ServerLeaving, ServerLostToRequest, Quarantined, LibraryMessage, ServerBackOff,
-		AnswerPartial, AnswerRefused, AnswerUnknown, AnswerWhole,
+		AnswerPartial, AnswerRefused, AnswerUnknown, AnswerWhole, OverLimit,
 		SettingAccepted, SettingRefused, TableInForce,
 	}
 }
--- a/internal/node/forwardvm/process.go
+++ b/internal/node/forwardvm/process.go
@@ -125,7 +125,9 @@
 	// unreadable collects the platform's entries that can't be used.
 	unreadable *platform.Unreadable
 	target     *fleetTarget
-	watcher    *platform.Watcher
+	// rates are the shared rates, customers and cold servers.
+	rates   *rates
+	watcher *platform.Watcher
 	// settings is the configuration in force, with the changes of reloads.
 	settings  *rcu.Value[Config]
 	startedAt time.Time
@@ -229,12 +231,14 @@
 		OnDeparture: ps.onPeerDeparture,
 	}
 	ps.Cluster.Init()
+	ps.rates = ps.newRates(transport)
 	ps.Service = &forward.Service{
 		Fleets: ps.Fleets, ConfirmedAt: ps.Cluster.ConfirmedAt, Quarantine: quarantine,
 		Engine: &scatter.Engine[scatter.LeastExpectedLatency, scatter.GoalHedge, scatter.StartWithRoom, forward.Attempt, forward.Answer]{
 			Sender: fe.NewSender(ps.Backend, ps.Fleets), Zone: zone.Zone{Name: cg.Zone, DefaultDelay: defaultZoneDelay},
 			Quarantine: quarantine, OnServerLost: ps.onServerLost,
 		},
+		Limits:   ps.rates.limits(),
 		Memory:   quota.NewPool(cg.MessageMemory()),
 		Budgets:  forward.NewBudgets(now, cg.Retries, len(cg.Peers)+1),
 		Observer: newObserver(ps.Log, ps.Metrics.Scope),
@@ -310,7 +314,7 @@
 	if err != nil {
 		return fmt.Errorf("listen on entry_address: %w", err)
 	}
-	ps.grpc = entry.NewServer(ps.Cluster)
+	ps.grpc = entry.NewServer(ps.Cluster, ps.rates.leases)
 	ps.group.Go(func() { _ = ps.grpc.Serve(ls) })
 	ps.group.Cleanup(ps.grpc.Stop)
 	return nil
@@ -337,7 +341,7 @@
 // startTasks starts the background tasks: watching the platform, heartbeats and
 // upkeep.
 func (ps *Process) startTasks() {
-	ps.group.Run(ps.watcher.Run, ps.Cluster.Run, ps.runUpkeep)
+	ps.group.Run(ps.watcher.Run, ps.Cluster.Run, ps.rates.leases.Run, ps.runUpkeep)
 }
 
 // IsReady reports whether this process can serve callers and is not stopping.
@@ -368,9 +372,11 @@
 	ps.settings.Update(func(old Config) Config {
 		old.Peers, old.Retries, old.DirectoryTTL, old.MaxDirectoryTTL = cg.Peers, cg.Retries, cg.DirectoryTTL, cg.MaxDirectoryTTL
 		old.DrainFor, old.ApplyWithin, old.StopWithin = cg.DrainFor, cg.ApplyWithin, cg.StopWithin
+		old.Quota, old.WarmUp = cg.Quota, cg.WarmUp
 		return old
 	})
 	ps.Cluster.SetSeeds(cg.Peers)
+	ps.rates.setBounds(cg)
 	events.SettingsReloaded.Log(ps.Log, zap.Duration("stop_within", cg.StopWithin), zap.Duration("drain_for", cg.DrainFor),
 		zap.Float64("retry_ratio", cg.Retries.Ratio), zap.Float64("retry_slack", cg.Retries.Slack))
 }
--- a/internal/node/forwardvm/state.go
+++ b/internal/node/forwardvm/state.go
@@ -42,6 +42,7 @@
 	Links        map[string]backend.PoolState `json:"links"`
 	// Unreadable holds the platform's entries that can't be used.
 	Unreadable []platform.UnreadableEntry `json:"unreadable"`
+	Rates      RatesState                 `json:"rates"`
 }
 
 // ServerState describes one server as this process sees it.
@@ -73,6 +74,7 @@
 		WatchesPlatform: ps.watcher.IsCurrent(), PlatformUnreachable: ps.isPlatformUnreachable(), ConfirmationAge: now.Sub(ps.Cluster.ConfirmedAt()),
 		Version: fl.Version, Digest: fl.Digest, EntryVMs: ps.Cluster.Members(now),
 		Quarantines: ps.Service.Quarantine.Crashes(), Links: ps.Backend.Pools(), Unreadable: ps.unreadable.Entries(),
+		Rates: ps.rates.state(),
 	}
 	if fl.Table != nil {
 		st.TableVersion, st.Routes = fl.Table.Version, fl.Table.Routes
@@ -120,6 +122,7 @@
 	for _, pl := range ps.Backend.Pools() {
 		open += pl.Open
 	}
+	ps.rates.publishGauges(ps.Metrics)
 	ps.Metrics.SetGauges(map[string]float64{
 		"forward_table_version":     float64(version),
 		"forward_word_age_seconds":  now.Sub(ps.Cluster.ConfirmedAt()).Seconds(),
--- a/internal/node/forwardvm/upkeep.go
+++ b/internal/node/forwardvm/upkeep.go
@@ -49,6 +49,7 @@
 		ps.Cluster.TriggerRound()
 	}
 	if after.Table != before.Table {
+		ps.rates.share.SetVersion(after.Table.Version)
 		events.TableInForce.Log(ps.Log, zap.Int64("version", after.Table.Version), zap.Int("routes", len(after.Table.Routes)))
 	}
 }
--- a/internal/peer/entry/grpc.go
+++ b/internal/peer/entry/grpc.go
@@ -157,17 +157,26 @@
 	})
 }
 
+// Lease implements LeaseTransport.
+func (gt *GRPCTransport) Lease(ctx context.Context, address string, rq *entrypb.LeaseRequest) (*entrypb.LeaseReply, error) {
+	return call(gt, address, func(client entrypb.EntryClient) (*entrypb.LeaseReply, error) {
+		return client.Lease(ctx, rq)
+	})
+}
+
 // Server answers peers over gRPC.
 type Server struct {
 	entrypb.UnimplementedEntryServer
 	Cluster *Cluster
+	// Leases answers requests for tokens of shared rates; nil if this process owns none.
+	Leases *Leases
 }
 
-// NewServer returns a gRPC server for a cluster.
-func NewServer(cr *Cluster) *grpc.Server {
+// NewServer returns a gRPC server for a cluster and the shared rates, which may be nil.
+func NewServer(cr *Cluster, leases *Leases) *grpc.Server {
 	gs := grpc.NewServer(grpc.MaxRecvMsgSize(maxMessageSize),
 		grpc.ReadBufferSize(bufferSize), grpc.WriteBufferSize(bufferSize), grpc.SharedWriteBuffer(true))
-	entrypb.RegisterEntryServer(gs, &Server{Cluster: cr})
+	entrypb.RegisterEntryServer(gs, &Server{Cluster: cr, Leases: leases})
 	return gs
 }
 
@@ -180,3 +189,11 @@
 func (sr *Server) Pull(_ context.Context, rq *entrypb.PullRequest) (*entrypb.PullReply, error) {
 	return sr.Cluster.HandlePull(time.Now(), rq), nil
 }
+
+// Lease implements entrypb.EntryServer.
+func (sr *Server) Lease(ctx context.Context, rq *entrypb.LeaseRequest) (*entrypb.LeaseReply, error) {
+	if sr.Leases == nil {
+		return nil, status.Error(codes.Unimplemented, "this process shares no rates")
+	}
+	return sr.Leases.HandleLease(ctx, rq), nil
+}
--- a/internal/query/forward/forward.go
+++ b/internal/query/forward/forward.go
@@ -129,6 +129,8 @@
 	Engine      Runner
 	Budgets     *Budgets
 	Observer    Observer
+	// Limits holds customers to their rates; nil if there are none.
+	Limits *Limits
 	// Memory is shared by the bodies of all calls and answers in flight.
 	Memory *quota.Pool
 	// AttemptsSent counts the attempts sent; the owner resets it.
--- a/internal/world/contract/rateowner.go
+++ b/internal/world/contract/rateowner.go
@@ -33,20 +33,16 @@
 // by any number of goroutines; no request waits for it. The times come from the clock that
 // RateShare uses. Make one with NewRateOwner.
 type RateOwner struct {
-	// Known returns the rate of a key in this process's configuration and the version
-	// of that; false if it has none. It may be nil.
-	Known func(key RateKey) (SharedRate, int64, bool)
-	// Fresh is set if no VM has served callers before this process started, so that
+	lock sync.Mutex
+	// isFresh is set if no VM has served callers before this process started, so that
 	// buckets begin full.
-	Fresh bool
-
-	lock   sync.Mutex
-	bounds RateBounds
-	self   string
+	isFresh bool
+	bounds  RateBounds
+	self    string
 	// checkedAt is when Update was last called, readyAt when grants may begin without a
 	// handover.
 	checkedAt, readyAt time.Time
-	isReady            bool
+	isReady, isLeaving bool
 	// part is the part of the rates that is granted; raiseFrom is since when a
 	// larger one would be right, zero if it is not.
 	part      float64
@@ -100,9 +96,10 @@
 	granted, credited, returned, advanced int64
 }
 
-// NewRateOwner returns an owner that grants nothing until Update has been called.
-func NewRateOwner(bounds RateBounds) *RateOwner {
-	return &RateOwner{bounds: bounds, keys: map[RateKey]*ownedRate{}, handed: map[RateKey]handedRate{}}
+// NewRateOwner returns an owner that grants nothing until Update has been called. isFresh
+// is set if no VM has served callers before this process started.
+func NewRateOwner(bounds RateBounds, isFresh bool) *RateOwner {
+	return &RateOwner{bounds: bounds, isFresh: isFresh, keys: map[RateKey]*ownedRate{}, handed: map[RateKey]handedRate{}}
 }
 
 // SetBounds replaces the tolerances.
@@ -118,12 +115,12 @@
 	ro.lock.Lock()
 	defer ro.lock.Unlock()
 	if !ro.checkedAt.IsZero() && now.Sub(ro.checkedAt) > maxOwnerGap {
-		ro.isReady, ro.Fresh = false, false
+		ro.isReady, ro.isFresh = false, false
 		ro.places, ro.readyAt = nil, now.Add(ownerRecovery)
 		clear(ro.keys)
 		clear(ro.handed)
 	}
-	ro.checkedAt, ro.self = now, place.Self
+	ro.checkedAt, ro.self, ro.isLeaving = now, place.Self, place.Leaving
 	if !place.Ready {
 		// The set of owners is not known yet. Keys that were handed over are granted.
 		ro.places, ro.readyAt = []ownerPlace{{now, place.Owners}}, now.Add(RateLease)
@@ -295,7 +292,7 @@
 		return nil
 	}
 	owned := &ownedRate{rate: rate, part: ro.part, filledAt: since, senders: map[string]*rateSender{}}
-	if ro.Fresh && since.Equal(ro.readyAt) {
+	if ro.isFresh && since.Equal(ro.readyAt) {
 		owned.level = ro.limitOf(key, owned)
 	}
 	ro.keys[key] = owned
@@ -323,6 +320,14 @@
 	return ro.places[len(ro.places)-1].owners
 }
 
+// mayGrantOnLeaving reports whether this process still grants tokens of a key that it
+// released because it stops. It knew that first, so the next owner grants none without a
+// handover until RateSettle later.
+func (ro *RateOwner) mayGrantOnLeaving(now time.Time, key RateKey) bool {
+	owned := ro.keys[key]
+	return ro.isLeaving && owned != nil && now.Sub(owned.releasedAt) < RateSettle-RateLease
+}
+
 func (ro *RateOwner) grant(now time.Time, sender string, incarnation uint64, demand *RateDemand) RateGrant {
 	if !ro.isCurrent(now) {
 		return RateGrant{Pending: true}
@@ -330,20 +335,20 @@
 	if handed, ok := ro.handed[demand.Key]; ok && now.Sub(handed.at) < releasedFor {
 		return RateGrant{Owner: handed.owner}
 	}
-	if owner := demand.Key.OwnerAmong(ro.owners()); owner != ro.self {
+	if owner := demand.Key.OwnerAmong(ro.owners()); owner != ro.self && !ro.mayGrantOnLeaving(now, demand.Key) {
 		return RateGrant{Owner: owner, Pending: owner == ""}
 	}
-	rate, version := ro.newest(demand)
-	if rate.IsUnlimited() {
+	if demand.Rate.IsUnlimited() {
 		return RateGrant{Tokens: max(demand.Wanted, 0)}
 	}
-	owned := ro.bucketOf(now, demand.Key, rate, ro.places)
+	owned := ro.bucketOf(now, demand.Key, demand.Rate, ro.places)
 	if owned == nil {
 		return RateGrant{Pending: true}
 	}
 	ro.fill(now, demand.Key, owned)
-	if version >= owned.version {
-		owned.rate, owned.version = rate, version
+	// The newest rate holds that any VM has sent.
+	if demand.Version >= owned.version {
+		owned.rate, owned.version = demand.Rate, demand.Version
 		owned.level = min(owned.level, ro.limitOf(demand.Key, owned))
 	}
 	owned.usedAt = now
@@ -352,16 +357,6 @@
 	return ro.divide(now, owned, from, demand)
 }
 
-// newest returns the newer one of the rates that the sender and this process know.
-func (ro *RateOwner) newest(demand *RateDemand) (SharedRate, int64) {
-	if ro.Known != nil {
-		if rate, version, ok := ro.Known(demand.Key); ok && version >= demand.Version {
-			return rate, version
-		}
-	}
-	return demand.Rate, demand.Version
-}
-
 func (or *ownedRate) senderOf(now time.Time, name string, incarnation uint64, demand *RateDemand) *rateSender {
 	from := or.senders[name]
 	if from == nil || from.incarnation < incarnation {
@@ -421,3 +416,38 @@
 	}
 	return time.Duration(min(1/perSecond, rateBacklog.Seconds()) * float64(time.Second))
 }
+
+// OwnedRateState describes the bucket of a key for operators.
+type OwnedRateState struct {
+	Kind   RateKind      `json:"kind"`
+	Name   string        `json:"name"`
+	Rate   SharedRate    `json:"rate"`
+	Level  float64       `json:"level"`
+	Leased float64       `json:"leased"`
+	Part   float64       `json:"part"`
+	VMs    int           `json:"entry_vms"`
+	Idle   time.Duration `json:"idle_ns"`
+}
+
+// States returns the state of at most count buckets that this process grants from, and
+// their number.
+func (ro *RateOwner) States(now time.Time, count int) ([]OwnedRateState, int) {
+	ro.lock.Lock()
+	defer ro.lock.Unlock()
+	var states []OwnedRateState
+	total := 0
+	for key, owned := range ro.keys {
+		if !owned.releasedAt.IsZero() {
+			continue
+		}
+		if total++; total > count {
+			continue
+		}
+		ro.fill(now, key, owned)
+		states = append(states, OwnedRateState{
+			Kind: key.Kind, Name: key.Name, Rate: owned.rate, Level: owned.level, Leased: owned.outstanding(now),
+			Part: owned.part, VMs: len(owned.senders), Idle: now.Sub(owned.usedAt),
+		})
+	}
+	return states, total
+}
--- a/internal/world/contract/rateplace.go
+++ b/internal/world/contract/rateplace.go
@@ -21,8 +21,8 @@
 	HolderSince time.Time
 	// Part is the part of each rate that this VM may grant, from 0 to 1.
 	Part float64
-	// Ready is unset while this process discovers its peers.
-	Ready bool
+	// Ready is unset while this process discovers its peers, Leaving set while it stops.
+	Ready, Leaving bool
 }
 
 // mixRate returns a hash of a VM and a key, by which VMs are ranked for the key.
@@ -81,3 +81,9 @@
 	size := max(1, advanceBurst*share)
 	return advanceBucket{size: size, period: time.Duration(float64(bounds.Window) / (share - size)), emptyAt: rp.HolderSince}
 }
+
+// Equal reports whether two places are the same.
+func (rp *RatePlace) Equal(other *RatePlace) bool {
+	return rp.Self == other.Self && slices.Equal(rp.Owners, other.Owners) && slices.Equal(rp.Holders, other.Holders) &&
+		rp.HolderSince.Equal(other.HolderSince) && rp.Part == other.Part && rp.Ready == other.Ready && rp.Leaving == other.Leaving
+}
--- a/internal/world/contract/rateshare.go
+++ b/internal/world/contract/rateshare.go
@@ -380,8 +380,11 @@
 	if ask := slot.asking.Load(); ask != nil {
 		return ask, false
 	}
-	ask = rs.ask(now, slot)
-	return ask, ask != nil
+	if ask = rs.ask(now, slot); ask != nil {
+		return ask, true
+	}
+	// NextAsks may have been faster.
+	return slot.asking.Load(), false
 }
 
 // ask starts a request for a slot; nil if one is in flight or there is nothing to say.
@@ -403,7 +406,7 @@
 	wanted := slot.wanted(now)
 	returned, advanced := slot.returned.Load(), slot.advanced.Load()
 	if wanted == 0 && returned == asked.returned && advanced == asked.advanced {
-		slot.asking.Store(nil)
+		slot.finish(ask)
 		return nil
 	}
 	asked.at = now
@@ -528,3 +531,70 @@
 		close(ask.Done)
 	}
 }
+
+// RateShareState describes the share of a process in one rate for operators.
+type RateShareState struct {
+	Kind RateKind   `json:"kind"`
+	Name string     `json:"name"`
+	Rate SharedRate `json:"rate"`
+	// Owner is the VM that is asked for tokens.
+	Owner string `json:"owner"`
+	// Tokens are those of the lease, LeaseLeft the time until it ends; negative if it has
+	// ended.
+	Tokens    int64         `json:"tokens"`
+	LeaseLeft time.Duration `json:"lease_left_ns"`
+	// MayAdvance is set if a token can be spent without a lease; Advanced is the total
+	// of those, Returned that of tokens not used.
+	MayAdvance bool  `json:"may_advance"`
+	Advanced   int64 `json:"advanced"`
+	Returned   int64 `json:"returned"`
+	// AnswerAge is the time since the owner's last answer, -1 if there is none. Answered
+	// is unset if the last request got no answer, and Wait the time between two tokens if
+	// the owner had too few.
+	AnswerAge time.Duration `json:"answer_age_ns"`
+	Answered  bool          `json:"answered"`
+	Wait      time.Duration `json:"wait_ns"`
+}
+
+// StateOf returns the state of one key; false if it is not in use.
+func (rs *RateShare) StateOf(now time.Time, key RateKey) (RateShareState, bool) {
+	slot, ok := rs.keys[key.Kind].Load().Get(key.Name)
+	if !ok {
+		return RateShareState{}, false
+	}
+	return rs.stateOf(now, slot), true
+}
+
+func (rs *RateShare) stateOf(now time.Time, slot *rateSlot) RateShareState {
+	state := RateShareState{
+		Kind: slot.key.Kind, Name: slot.key.Name, Owner: rs.ownerOf(now, slot),
+		Advanced: slot.advanced.Load(), Returned: slot.returned.Load(), AnswerAge: -1,
+	}
+	if terms := slot.terms.Load(); terms != nil {
+		state.Rate, state.MayAdvance = terms.rate, slot.takeAdvance(now, terms.advances, false)
+	}
+	if lease := slot.lease.Load(); lease != nil {
+		state.Tokens, state.LeaseLeft = lease.tokens.Load(), lease.until.Sub(now)
+	}
+	if answer := slot.answer.Load(); answer != nil {
+		state.AnswerAge, state.Answered, state.Wait = now.Sub(answer.at), !answer.failed, answer.wait
+	}
+	return state
+}
+
+// States returns the state of at most count keys in use, and their number.
+func (rs *RateShare) States(now time.Time, count int) ([]RateShareState, int) {
+	var states []RateShareState
+	total := 0
+	for _, keys := range rs.keys {
+		current := keys.Load()
+		total += current.Len()
+		for _, slot := range current.All() {
+			if len(states) >= count {
+				break
+			}
+			states = append(states, rs.stateOf(now, slot))
+		}
+	}
+	return states, total
+}
--- a/internal/world/contract/rateworld_test.go
+++ b/internal/world/contract/rateworld_test.go
@@ -44,6 +44,7 @@
 	vms         machine.RateVMs
 	share       *contract.RateShare
 	owner       *contract.RateOwner
+	place       *contract.RatePlace
 }
 
 type rateEvent struct {
@@ -134,7 +135,7 @@
 	vm.heard = map[string]machine.EntryVM{}
 	vm.vms = machine.RateVMs{}
 	bounds := contract.RateBounds{Customers: rw.bounds}
-	vm.share, vm.owner = contract.NewRateShare(bounds), contract.NewRateOwner(bounds)
+	vm.share, vm.owner = contract.NewRateShare(bounds), contract.NewRateOwner(bounds, false)
 	rw.at(vm, 0, func() { rw.beat(vm) })
 	rw.at(vm, 10*time.Millisecond, func() { rw.tick(vm) })
 }
@@ -169,14 +170,18 @@
 	placement := vm.vms.Update(rw.now, members, len(rw.vms) > 1)
 	place := &contract.RatePlace{
 		Self: vm.name, Owners: placement.Owners, Holders: placement.Holders, HolderSince: vm.holderSince,
-		Part: placement.Part, Ready: rw.now.Sub(vm.startedAt) > 3*time.Second,
+		Part: placement.Part, Ready: rw.now.Sub(vm.startedAt) > 3*time.Second, Leaving: vm.leaving,
 	}
-	if !place.Ready {
+	switch {
+	case !place.Ready:
 		place.Holders = nil
-	}
-	if !slices.Contains(place.Holders, vm.name) {
+	case !slices.Contains(place.Holders, vm.name):
 		vm.holderSince = rw.now
 	}
+	if vm.place != nil && vm.place.Equal(place) {
+		place = vm.place
+	}
+	vm.place = place
 	vm.share.SetPlace(place)
 	vm.owner.Update(rw.now, place)
 	asks, _ := vm.share.NextAsks(rw.now)
--- a/internal/world/machine/ratevms.go
+++ b/internal/world/machine/ratevms.go
@@ -31,13 +31,14 @@
 
 type rateVM struct {
 	vm EntryVM
-	// readyAt is when it was last ready; leftAt when it began to leave, zero if not.
+	// readyAt is when it last had settings and was live; leftAt when it began to leave, zero if not.
 	readyAt, leftAt time.Time
 }
 
 // RatePlacement is the result of RateVMs.Update, ordered by name.
 type RatePlacement struct {
-	// Holders are the VMs that count, Owners those of them that are ready.
+	// Holders are the VMs that count, Owners those of them that are live, have
+	// settings and do not leave.
 	Holders, Owners []string
 	// Part is the part of the rates that the owners may grant.
 	Part float64
@@ -92,7 +93,7 @@
 	for _, vm := range members {
 		known, ok := rv.known[vm.Name]
 		switch {
-		case vm.IsReady(now):
+		case vm.Version > 0 && !vm.Leaving && vm.IsLive(now):
 			rv.known[vm.Name] = rateVM{vm: vm, readyAt: now}
 		case ok && vm.Leaving && known.leftAt.IsZero():
 			known.leftAt = now
