--- a/internal/node/forwardvm/process.go
+++ b/internal/node/forwardvm/process.go
@@ -404,6 +404,7 @@
 	events.Leaving.Log(ps.Log)
 	ps.leaving.Store(true)
 	ps.Cluster.Leave()
+	ps.rates.leases.Refresh()
 	time.Sleep(time.Until(now.Add(within - acceptMargin)))
 	events.Draining.Log(ps.Log)
 	ctx, cancel := context.WithDeadline(context.Background(), plan.GiveUpAt)
--- a/internal/node/forwardvm/rates.go
+++ b/internal/node/forwardvm/rates.go
@@ -75,6 +75,7 @@
 		HasPeers:      func() bool { return len(ps.settings.Load().Peers) > 0 },
 		IsDiscovering: func() bool { return ps.isDiscoveringPeers(time.Now()) },
 	}
+	rt.leases.Init()
 	return rt
 }
 
--- a/internal/peer/entry/lease.go
+++ b/internal/peer/entry/lease.go
@@ -34,8 +34,8 @@
 	Lease(ctx context.Context, address string, rq *entrypb.LeaseRequest) (*entrypb.LeaseReply, error)
 }
 
-// Leases exchanges leases of shared rates with the other entry VMs. Set the fields and run
-// Run.
+// Leases exchanges leases of shared rates with the other entry VMs. Set the fields and call
+// Init before Run.
 type Leases struct {
 	Cluster   *Cluster
 	Transport LeaseTransport
@@ -52,6 +52,7 @@
 	// some may not be known yet.
 	HasPeers, IsDiscovering func() bool
 
+	refresh chan struct{}
 	// vms and holderSince are used by Run only.
 	vms         machine.RateVMs
 	holderSince time.Time
@@ -64,6 +65,19 @@
 	Sent, Failed, Claimed atomic.Int64
 }
 
+// Init initializes the leases. It is called once, before the other methods.
+func (ls *Leases) Init() {
+	ls.refresh = make(chan struct{}, 1)
+}
+
+// Refresh takes over the members of the cluster without waiting for the next interval.
+func (ls *Leases) Refresh() {
+	select {
+	case ls.refresh <- struct{}{}:
+	default:
+	}
+}
+
 // Run exchanges leases until the context is done.
 func (ls *Leases) Run(ctx context.Context) {
 	ls.holderSince = ls.StartedAt
@@ -79,6 +93,7 @@
 		select {
 		case <-ticker.C:
 		case <-ls.Share.Wake():
+		case <-ls.refresh:
 		case <-ctx.Done():
 			return
 		}
@@ -172,40 +187,58 @@
 // whether it took one. RateShare.TryTake must have found none before.
 func (ls *Leases) Await(ctx context.Context, key contract.RateKey, rate contract.SharedRate) bool {
 	now := ls.Now()
-	if !ls.Share.ShouldAsk(now, key) || ls.awaiting.Load() >= maxAwaiting {
+	delay, ok := ls.Share.AskIn(now, key)
+	if !ok || ls.awaiting.Load() >= maxAwaiting {
 		return false
 	}
 	ls.awaiting.Add(1)
 	defer ls.awaiting.Add(-1)
 	defer ls.Share.Await(now, key)()
-	timeout := time.NewTimer(awaitTimeout)
-	defer timeout.Stop()
+	waitCtx, cancel := context.WithTimeout(ctx, awaitTimeout)
+	defer cancel()
 	for range maxAwaits {
-		ask, isNew := ls.Share.Ask(ls.Now(), key)
-		if ask == nil {
-			return false
-		}
-		if isNew {
-			// Others wait for the answer too, so it does not end with this request.
-			go ls.send(context.WithoutCancel(ctx), ask.Owner, []*contract.RateAsk{ask})
-		}
-		select {
-		case <-ask.Done:
-		case <-timeout.C:
-			return false
-		case <-ctx.Done():
+		if !ok || !sleep(waitCtx, delay) || !ls.ask(waitCtx, key) {
 			return false
 		}
 		if now = ls.Now(); ls.Share.RetryTake(now, key, rate) {
 			return true
 		}
-		if !ls.Share.ShouldAsk(now, key) {
-			return false
-		}
+		delay, ok = ls.Share.AskIn(now, key)
 	}
 	return false
 }
 
+// sleep waits for a time, and reports whether the context is not done.
+func sleep(ctx context.Context, delay time.Duration) bool {
+	if delay <= 0 {
+		return ctx.Err() == nil
+	}
+	select {
+	case <-time.After(delay):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// ask waits for the answer of the owner of a key, and reports whether there is one.
+func (ls *Leases) ask(ctx context.Context, key contract.RateKey) bool {
+	ask, isNew := ls.Share.Ask(ls.Now(), key)
+	if ask == nil {
+		return false
+	}
+	if isNew {
+		// Others wait for the answer too, so it does not end with this request.
+		go ls.send(context.WithoutCancel(ctx), ask.Owner, []*contract.RateAsk{ask})
+	}
+	select {
+	case <-ask.Done:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // HandleLease answers a request for tokens and for buckets.
 func (ls *Leases) HandleLease(ctx context.Context, rq *entrypb.LeaseRequest) *entrypb.LeaseReply {
 	now, reply := ls.Now(), &entrypb.LeaseReply{}
--- a/internal/peer/entry/lease_test.go
+++ b/internal/peer/entry/lease_test.go
@@ -63,6 +63,7 @@
 			Now: time.Now, StartedAt: started, HasPeers: func() bool { return true },
 			IsDiscovering: func() bool { return time.Since(started) < 3*time.Second },
 		}
+		ls.Init()
 		leases = append(leases, ls)
 		ln.leases[cr.Self.EntryAddress] = ls
 	}
@@ -115,9 +116,10 @@
 				assert.Assert(t, admitted >= 190 && admitted <= 250, "admitted %d", admitted)
 				time.Sleep(5 * time.Second)
 				owner := leaseKey.OwnerAmong(leases[0].Place().Owners)
-				for _, cr := range all {
+				for i, cr := range all {
 					if cr.Self.Name == owner {
 						cr.Leave()
+						leases[i].Refresh()
 					}
 				}
 				_, refused = takeFor(t, leases, 8, 20*time.Second)
--- a/internal/world/contract/rateshare.go
+++ b/internal/world/contract/rateshare.go
@@ -15,6 +15,8 @@
 	maxRateKeys = 200_000
 	// rateIdle is how long a key is known after its last use.
 	rateIdle = 10 * time.Second
+	// pendingGap is the time between two requests to an owner that may not grant yet.
+	pendingGap = 50 * time.Millisecond
 	// demandMargin is the factor by which more tokens are requested than were used, and
 	// demandDecay the factor by which the expected use falls in each interval.
 	demandMargin = 1.25
@@ -154,8 +156,8 @@
 	wait   time.Duration
 	// redirect is the owner that the asked VM named.
 	redirect string
-	// failed is set if there was no answer.
-	failed bool
+	// failed is set if there was no answer, pending if the owner may not grant yet.
+	failed, pending bool
 }
 
 // slotOf returns the state of a key, created on first use; nil if there are too many.
@@ -331,21 +333,22 @@
 	}
 }
 
-// ShouldAsk reports whether the owner of a key may have tokens that this process does
-// not know of, so that a request without a token should wait for its answer.
-func (rs *RateShare) ShouldAsk(now time.Time, key RateKey) bool {
+// AskIn returns after which time the owner of a key may have tokens that this process does
+// not know of, so that a request without a token should ask it; false if the request should
+// not wait.
+func (rs *RateShare) AskIn(now time.Time, key RateKey) (time.Duration, bool) {
 	slot, ok := rs.keys[key.Kind].Load().Get(key.Name)
-	if !ok {
-		return false
+	if !ok || len(rs.place.Load().Owners) == 0 {
+		return 0, false
 	}
 	answer := slot.answer.Load()
 	switch {
-	case len(rs.place.Load().Owners) == 0:
-		return false
 	case answer == nil || answer.redirect != "" || answer.isFull:
-		return true
+		return 0, true
+	case answer.pending:
+		return max(0, pendingGap-now.Sub(answer.at)), true
 	}
-	return now.Sub(answer.at) >= RateInterval
+	return 0, now.Sub(answer.at) >= RateInterval
 }
 
 // RateAsk is a request for tokens of one key to its owner.
@@ -499,7 +502,7 @@
 	}
 	slot.asked.returned, slot.asked.advanced = ask.Demand.Returned, ask.Demand.Advanced
 	slot.answer.Store(&rateAnswer{
-		at: now, owner: ask.Owner, wait: grant.Wait, redirect: grant.Owner,
+		at: now, owner: ask.Owner, wait: grant.Wait, redirect: grant.Owner, pending: grant.Pending,
 		isFull: grant.Owner == "" && !grant.Pending && grant.Tokens >= ask.Demand.Wanted,
 	})
 	until := ask.SentAt.Add(RateLease)
--- a/internal/world/contract/rateworld_test.go
+++ b/internal/world/contract/rateworld_test.go
@@ -240,35 +240,51 @@
 	}
 	deadline := rw.now.Add(150 * time.Millisecond)
 	end := vm.share.Await(rw.now, key)
-	var ask *contract.RateAsk
-	var wait func()
+	finish := func(times map[string][]time.Time) {
+		end()
+		times[customer] = append(times[customer], rw.now)
+	}
+	var wait, next func()
+	next = func() {
+		delay, ok := vm.share.AskIn(rw.now, key)
+		if !ok || rw.now.After(deadline) {
+			finish(rw.refused)
+			return
+		}
+		rw.at(vm, delay, wait)
+	}
 	wait = func() {
-		if ask != nil {
-			select {
-			case <-ask.Done:
-				ask = nil
-				if vm.share.RetryTake(rw.now, key, rw.rates[customer]) {
-					end()
-					rw.admitted[customer] = append(rw.admitted[customer], rw.now)
-					return
-				}
-			default:
-			}
+		ask, isNew := vm.share.Ask(rw.now, key)
+		if ask == nil {
+			finish(rw.refused)
+			return
 		}
-		if ask == nil && vm.share.ShouldAsk(rw.now, key) {
-			var isNew bool
-			if ask, isNew = vm.share.Ask(rw.now, key); isNew {
-				rw.ask(vm, ask)
-			}
+		if isNew {
+			rw.ask(vm, ask)
 		}
-		if ask == nil || rw.now.After(deadline) {
-			end()
-			rw.refused[customer] = append(rw.refused[customer], rw.now)
+		rw.poll(vm, ask, deadline, func() {
+			if vm.share.RetryTake(rw.now, key, rate) {
+				finish(rw.admitted)
+				return
+			}
+			next()
+		})
+	}
+	next()
+}
+
+// poll continues when a request for tokens was answered, or at a deadline.
+func (rw *rateWorld) poll(vm *ratePlayer, ask *contract.RateAsk, deadline time.Time, done func()) {
+	select {
+	case <-ask.Done:
+		done()
+	default:
+		if rw.now.After(deadline) {
+			done()
 			return
 		}
-		rw.at(vm, 5*time.Millisecond, wait)
+		rw.at(vm, 5*time.Millisecond, func() { rw.poll(vm, ask, deadline, done) })
 	}
-	wait()
 }
 
 // worst returns by how much the requests of a customer in any window exceed what is
