--- a/internal/node/forwardvm/process.go
+++ b/internal/node/forwardvm/process.go
@@ -112,8 +112,8 @@
 	CallerHandler    func(ps *Process) http.Handler
 	ReadyHandler     func(ps *Process) http.Handler
 	DirectoryHandler func(ps *Process) http.Handler
-	// SharedRates are the rates that the entry VMs share; nil if there are none. Without
-	// them, cold servers are not limited.
+	// SharedRates replaces the shared rates that limit the requests to cold servers, for
+	// tests; nil for those of the process.
 	SharedRates machine.SharedRates
 }
 
@@ -141,7 +141,9 @@
 	// upkeep uses it.
 	coldServers int64
 	target      *fleetTarget
-	watcher     *platform.Watcher
+	// rates are the shared rates, customers and cold servers.
+	rates   *rates
+	watcher *platform.Watcher
 	// settings is the configuration in force, with the changes of reloads.
 	settings  *rcu.Value[Config]
 	startedAt time.Time
@@ -218,10 +220,6 @@
 	ps.Backend, endBackend = backend.New(dial)
 	ps.group.Cleanup(endBackend)
 	ps.Backend.SetEntryVMs(assumedEntryVMs)
-	if cg.UsesWarmUp && fe.SharedRates != nil {
-		ps.cold = &machine.ColdLimit{Rates: fe.SharedRates, Bounds: func() contract.WarmUpBounds { return ps.settings.Load().WarmUp }}
-	}
-	ps.Backend.Cold = ps.cold
 	ps.Backend.OnDeparture, ps.Backend.OnBackOff = ps.onDeparture, ps.onBackOff
 	var endMetrics func()
 	ps.Metrics, endMetrics = metrics.New(cg.Name, cg.Zone)
@@ -261,10 +259,16 @@
 		},
 	}
 	ps.Cluster.Init()
+	ps.rates = ps.newRates(transport)
+	if cg.UsesWarmUp {
+		ps.cold = ps.newColdLimit(fe)
+	}
+	ps.Backend.Cold = ps.cold
 	ps.Service = &forward.Service{
 		Fleets: ps.Fleets, ConfirmedAt: ps.Cluster.ConfirmedAt, Quarantine: quarantine,
 		Freshness: ps.Freshness, SinceBoot: bootclock.Now, KeyBounds: ps.keyBounds,
 		Engine: ps.newEngine(fe, quarantine), PlacesByWork: cg.PlacesByWork,
+		Limits:   ps.rates.limits(),
 		Memory:   quota.NewPool(cg.MessageMemory()),
 		Budgets:  forward.NewBudgets(now, cg.Retries, len(cg.Peers)+1),
 		Observer: newObserver(ps.Log, ps.Metrics.Scope),
@@ -355,7 +359,7 @@
 	if err != nil {
 		return fmt.Errorf("listen on entry_address: %w", err)
 	}
-	ps.grpc = entry.NewServer(ps.Cluster)
+	ps.grpc = entry.NewServer(ps.Cluster, ps.rates.leases)
 	ps.group.Go(func() { _ = ps.grpc.Serve(ls) })
 	ps.group.Cleanup(ps.grpc.Stop)
 	return nil
@@ -382,7 +386,7 @@
 // startTasks starts the background tasks: watching the platform, heartbeats and
 // upkeep.
 func (ps *Process) startTasks() {
-	ps.group.Run(ps.watcher.Run, ps.Cluster.Run, ps.runUpkeep)
+	ps.group.Run(ps.watcher.Run, ps.Cluster.Run, ps.rates.leases.Run, ps.runUpkeep)
 }
 
 // IsReady reports whether this process can serve callers, accepts their keys and is not
@@ -415,10 +419,11 @@
 		old.Peers, old.Retries, old.DirectoryTTL, old.MaxDirectoryTTL = cg.Peers, cg.Retries, cg.DirectoryTTL, cg.MaxDirectoryTTL
 		old.DrainFor, old.ApplyWithin, old.StopWithin = cg.DrainFor, cg.ApplyWithin, cg.StopWithin
 		old.RevokeWithin = cg.RevokeWithin
-		old.WarmUp, old.EvacuateWithin = cg.WarmUp, cg.EvacuateWithin
+		old.Quota, old.WarmUp, old.EvacuateWithin = cg.Quota, cg.WarmUp, cg.EvacuateWithin
 		return old
 	})
 	ps.Cluster.SetSeeds(cg.Peers)
+	ps.rates.setBounds(cg)
 	events.SettingsReloaded.Log(ps.Log, zap.Duration("stop_within", cg.StopWithin), zap.Duration("drain_for", cg.DrainFor),
 		zap.Duration("revoke_within", cg.RevokeWithin), zap.Float64("retry_ratio", cg.Retries.Ratio), zap.Float64("retry_slack", cg.Retries.Slack))
 }
@@ -446,6 +451,7 @@
 	events.Leaving.Log(ps.Log)
 	ps.leaving.Store(true)
 	ps.Cluster.Leave()
+	ps.rates.leases.Refresh()
 	time.Sleep(time.Until(now.Add(within - acceptMargin)))
 	events.Draining.Log(ps.Log)
 	ctx, cancel := context.WithDeadline(context.Background(), plan.GiveUpAt)
--- a/internal/node/forwardvm/upkeep.go
+++ b/internal/node/forwardvm/upkeep.go
@@ -52,6 +52,7 @@
 	}
 	ps.logEvacuations(before.Evacuated, after.Evacuated)
 	if after.Table != before.Table {
+		ps.rates.share.SetVersion(after.Table.Version)
 		events.TableInForce.Log(ps.Log, zap.Int64("version", after.Table.Version), zap.Int("routes", len(after.Table.Routes)),
 			zap.Int("customers", len(after.Table.Customers)), zap.Int("unusable_customers", after.Table.UnusableCustomers),
 			zap.Int("ambiguous_keys", after.Table.AmbiguousKeys))
--- a/internal/query/forward/forward.go
+++ b/internal/query/forward/forward.go
@@ -147,6 +147,8 @@
 	PlacesByWork bool
 	Budgets      *Budgets
 	Observer     Observer
+	// Limits holds customers to their rates; nil if there are none.
+	Limits *Limits
 	// Memory is shared by the bodies of all calls and answers in flight.
 	Memory *quota.Pool
 	// AttemptsSent counts the attempts sent; the owner resets it.
@@ -216,6 +218,18 @@
 	if sv.Quarantine.IsBlocked(now, fingerprint) {
 		return nil, quarantineRefusal()
 	}
+	if rf := sv.takeFromLimit(ctx, rn.customer); rf != nil {
+		return nil, rf
+	}
+	reply, err := sv.send(ctx, now, rn, fingerprint)
+	if rf := asRefusal(err); rf != nil && rf.Outcome == contract.NotRun {
+		sv.returnToLimit(rn.customer)
+	}
+	return reply, err
+}
+
+// send sends a planned call to the servers of its route.
+func (sv *Service) send(ctx context.Context, now time.Time, rn *run, fingerprint uint64) (*Reply, error) {
 	if len(rn.route.Shards) > 0 {
 		return sv.sendToShards(ctx, now, rn, fingerprint)
 	}
