quota: leases give parts back, without an allocation, and may leave a rest

Cause: the memory of heads is leased and returned many times on a connection, and a part of it must be left for ordinary requests. Change: Pool.Init, Lease.Return, Held, End and ReserveLeaving.

--- a/internal/container/quota/quota.go
+++ b/internal/container/quota/quota.go
@@ -37,14 +37,21 @@
 // Lease returns a lease without bytes, and a function that returns all its bytes
 // and ends it.
 func (pl *Pool) Lease() (*Lease, func()) {
-	ls := &Lease{pool: pl}
-	return ls, ls.end
+	ls := &Lease{}
+	pl.Init(ls)
+	return ls, ls.End
 }
 
-func (pl *Pool) reserve(count int64) bool {
+// Init makes a lease without bytes of ls, which must be new. It spares the allocation
+// of Lease. The lease is ended with End.
+func (pl *Pool) Init(ls *Lease) {
+	ls.pool = pl
+}
+
+func (pl *Pool) reserve(count, rest int64) bool {
 	for {
 		left := pl.left.Load()
-		if left < count {
+		if left < count+rest {
 			return false
 		}
 		if pl.left.CompareAndSwap(left, left-count) {
@@ -66,10 +73,16 @@
 
 // Reserve reserves bytes and reports whether they were left.
 func (ls *Lease) Reserve(count int64) bool {
+	return ls.ReserveLeaving(count, 0)
+}
+
+// ReserveLeaving reserves bytes if at least rest bytes are left in the pool after that,
+// and reports whether it did.
+func (ls *Lease) ReserveLeaving(count, rest int64) bool {
 	if ls == nil {
 		return true
 	}
-	if !ls.pool.reserve(count) {
+	if !ls.pool.reserve(count, rest) {
 		return false
 	}
 	if ls.held.Add(count) >= 0 {
@@ -80,7 +93,21 @@
 	return false
 }
 
-func (ls *Lease) end() {
+// Return gives back a part of the reserved bytes.
+func (ls *Lease) Return(count int64) {
+	// A lease that has ended gave back all of its bytes.
+	if ls != nil && ls.held.Add(-count) >= 0 {
+		ls.pool.left.Add(count)
+	}
+}
+
+// Held returns the number of reserved bytes; 0 after the end.
+func (ls *Lease) Held() int64 {
+	return max(ls.held.Load(), 0)
+}
+
+// End returns all bytes and ends the lease.
+func (ls *Lease) End() {
 	if held := ls.held.Swap(ended); held > 0 {
 		ls.pool.left.Add(held)
 	}
--- a/internal/container/quota/quota_test.go
+++ b/internal/container/quota/quota_test.go
@@ -85,3 +85,22 @@
 	var none *Lease
 	assert.Assert(t, none.Reserve(1<<40))
 }
+
+// TestLeaseReturnsParts guards against bytes that are returned twice, or lost, when a
+// lease gives parts back and ends.
+func TestLeaseReturnsParts(t *testing.T) {
+	pool := NewPool(100)
+	lease := &Lease{}
+	pool.Init(lease)
+	assert.Assert(t, lease.ReserveLeaving(60, 40))
+	assert.Assert(t, !lease.ReserveLeaving(1, 40))
+	assert.Assert(t, lease.Reserve(10))
+	lease.Return(30)
+	assert.Equal(t, lease.Held(), int64(40))
+	assert.Equal(t, pool.Left(), int64(60))
+	lease.End()
+	lease.Return(40)
+	lease.End()
+	assert.Equal(t, lease.Held(), int64(0))
+	assert.Equal(t, pool.Left(), int64(100))
+}
