callerhttp: a guard bounds memory and connections of callers

Cause: net/http decodes a head as it arrives, at up to 227 bytes for a line of 3, without a limit common to all connections, and accepts any number of them. Change: a reader in front of the server holds an unfinished head, and leases the cost of a whole one until its request is answered. When memory is short, unfinished requests are closed, overdue ones and then the largest, and others get 503 before a handler sees them. Each listener has a cap of connections, for which the oldest idle or unfinished ones are closed. Counters, gauges and event 505 tell of it.

--- a/internal/node/events/events.go
+++ b/internal/node/events/events.go
@@ -58,6 +58,8 @@
 	AnswerUnknown = Event{503, "answer_unknown", zapcore.ErrorLevel}
 	AnswerWhole   = Event{504, "answer_whole", zapcore.InfoLevel}
 
+	CallersRefused = Event{505, "callers_refused", zapcore.WarnLevel}
+
 	SettingAccepted = Event{601, "setting_accepted", zapcore.InfoLevel}
 	SettingRefused  = Event{602, "setting_refused", zapcore.WarnLevel}
 	TableInForce    = Event{603, "table_in_force", zapcore.InfoLevel}
@@ -70,7 +72,7 @@
 		WatchFailed, OlderObjectRefused, BadObjectRefused, StaleStore, ReceiptsDropped, ReceiptsWriteFailed, ClaimsSwept,
 		PeerFailed, PeerJoined, PeerSilent, Isolated, Confirmed, PulledFromPeer,
 		ServerLeaving, ServerLostToRequest, Quarantined, LibraryMessage, ServerBackOff,
-		AnswerPartial, AnswerRefused, AnswerUnknown, AnswerWhole,
+		AnswerPartial, AnswerRefused, AnswerUnknown, AnswerWhole, CallersRefused,
 		SettingAccepted, SettingRefused, TableInForce,
 	}
 }
--- a/internal/peer/callerhttp/listener.go
+++ b/internal/peer/callerhttp/listener.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -50,6 +51,13 @@
 	// ended is closed when Accept first fails: all connections are in conns then.
 	ended     chan struct{}
 	endedOnce sync.Once
+	// guard watches the connections; nil if nothing does. maxConns is then positive, and
+	// open the number of open connections.
+	guard    *Guard
+	maxConns int64
+	open     atomic.Int64
+	// WriteTimeout bounds each write of an answer; 0 leaves it to the handler.
+	WriteTimeout time.Duration
 }
 
 // Listen returns a listener on raw that tracks the connections of server, which must
@@ -61,16 +69,30 @@
 		return context.WithValue(ctx, connKey{}, accepted)
 	}
 	server.ConnState = func(accepted net.Conn, state http.ConnState) { accepted.(*conn).setState(state) }
+	// The server's own handler of OPTIONS * would read a body that the connection does not
+	// know of.
+	server.DisableGeneralOptionsHandler = true
 	server.Handler = answerOrClose(server.Handler)
 	return &Listener{Listener: raw, giveUp: giveUp, ended: make(chan struct{})}
 }
 
+// maxOptionsBody bounds the body of OPTIONS *, as the server's own handler does.
+const maxOptionsBody = 4 << 10
+
 // answerOrClose closes the connection if the handler next returns without an answer. The
 // server would send an empty success, which a caller that only closed its own side of the
 // connection takes for the answer to its request.
 func answerOrClose(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, rq *http.Request) {
 		aw := &answerWriter{ResponseWriter: w}
+		if cn, ok := rq.Context().Value(connKey{}).(*conn); ok && rq.ContentLength != 0 {
+			cn.beginBody(time.Now(), rq)
+		}
+		if rq.Method == http.MethodOptions && rq.RequestURI == "*" {
+			w.Header().Set("Content-Length", "0")
+			_, _ = io.Copy(io.Discard, http.MaxBytesReader(w, rq.Body, maxOptionsBody))
+			return
+		}
 		next.ServeHTTP(aw, rq)
 		if !aw.answered {
 			panic(http.ErrAbortHandler)
@@ -113,14 +135,40 @@
 
 // Accept implements net.Listener.
 func (ls *Listener) Accept() (net.Conn, error) {
-	raw, err := ls.Listener.Accept()
-	if err != nil {
-		ls.endedOnce.Do(func() { close(ls.ended) })
-		return nil, err
+	for {
+		raw, err := ls.Listener.Accept()
+		if err != nil {
+			ls.endedOnce.Do(func() { close(ls.ended) })
+			return nil, err
+		}
+		now := time.Now()
+		if !ls.hasRoom(now) {
+			_ = raw.Close()
+			continue
+		}
+		cn := &conn{Conn: raw, listener: ls, acceptedAt: now}
+		if ls.guard != nil {
+			cn.guard = ls.guard
+			ls.guard.memory.Init(&cn.lease)
+		}
+		ls.open.Add(1)
+		ls.conns.Store(cn, nil)
+		return cn, nil
 	}
-	cn := &conn{Conn: raw, listener: ls, acceptedAt: time.Now()}
-	ls.conns.Store(cn, nil)
-	return cn, nil
+}
+
+// hasRoom reports whether one more connection may be opened, after closing others that
+// matter less.
+func (ls *Listener) hasRoom(now time.Time) bool {
+	if ls.guard == nil || ls.open.Load() < ls.maxConns {
+		return true
+	}
+	ls.makeRoom(now)
+	if ls.open.Load() < ls.maxConns {
+		return true
+	}
+	ls.guard.refused[ConnectionRefused].Add(1)
+	return false
 }
 
 // ShutDown stops accepting, and returns when all requests that callers sent on open
@@ -210,6 +258,10 @@
 	requests atomic.Int64
 	// state holds an http.ConnState.
 	state atomic.Int64
+	// idleSince is the instant at which the connection last became idle.
+	idleSince atomic.Int64
+	closed    atomic.Bool
+	meter
 }
 
 // connKey is the key of the *conn in the context of a request.
@@ -244,8 +296,13 @@
 
 // setState is the ConnState hook of the server.
 func (cn *conn) setState(state http.ConnState) {
-	if state == http.StateActive {
+	switch state {
+	case http.StateActive:
 		cn.requests.Add(1)
+	case http.StateIdle:
+		now := time.Now()
+		cn.idleSince.Store(instantOf(now))
+		cn.endRequest(now)
 	}
 	cn.state.Store(int64(state))
 }
@@ -253,6 +310,9 @@
 // isIdle reports whether the connection waits for a request of which nothing has
 // arrived. The first request of a connection may take newConnWait.
 func (cn *conn) isIdle(now time.Time) bool {
+	if held := cn.heldFor(now); held > 0 && held <= newConnWait {
+		return false
+	}
 	switch http.ConnState(cn.state.Load()) {
 	case http.StateNew:
 		return now.Sub(cn.acceptedAt) > newConnWait && !hasUnread(cn.Conn)
@@ -264,10 +324,33 @@
 
 // Close implements net.Conn.
 func (cn *conn) Close() error {
-	cn.listener.conns.Delete(cn)
+	if cn.closed.CompareAndSwap(false, true) {
+		cn.listener.conns.Delete(cn)
+		cn.listener.open.Add(-1)
+		if cn.guard != nil {
+			cn.lease.End()
+		}
+	}
 	return cn.Conn.Close()
 }
 
+// CloseWrite is used by the server to let a caller read an answer to a request of which
+// it still sends the rest.
+func (cn *conn) CloseWrite() error {
+	if half, ok := cn.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+// Write implements net.Conn.
+func (cn *conn) Write(answer []byte) (int, error) {
+	if timeout := cn.listener.WriteTimeout; timeout > 0 {
+		_ = cn.Conn.SetWriteDeadline(time.Now().Add(timeout))
+	}
+	return cn.Conn.Write(answer)
+}
+
 // hasUnread reports without blocking whether bytes have arrived on a connection
 // that were not read.
 func hasUnread(raw net.Conn) bool {
