Put the limits of callers in force in forward and serve

A crowd of callers beyond the limits brought a process with 136 MB to 1,307 MB, and one with 300 descriptors for sockets to 712. Change: all addresses that accept HTTP are guarded. The limit of heads is that of the configuration, of the memory that of the settings, of connections that of the descriptors.

--- a/cmd/daisystage/forward.go
+++ b/cmd/daisystage/forward.go
@@ -33,6 +33,7 @@
 	if err != nil {
 		return usageError{err}
 	}
+	limitMemory(cg.MemoryMB)
 	queue, endQueue := events.NewQueue(tl.out)
 	defer endQueue()
 	log, err := newLogger(cg.LogLevel, "json", queue)
--- a/cmd/daisystage/serve.go
+++ b/cmd/daisystage/serve.go
@@ -37,6 +37,7 @@
 	if err != nil {
 		return usageError{err}
 	}
+	limitMemory(cg.MemoryMB)
 	log, err := newLogger(cg.LogLevel, cg.LogFormat, tl.err)
 	if err != nil {
 		return err
--- a/internal/node/entryvm/config.go
+++ b/internal/node/entryvm/config.go
@@ -69,6 +69,15 @@
 	}
 }
 
+// requestMemoryDivisor is the part of the VM's memory that requests may occupy.
+const requestMemoryDivisor = 4
+
+// RequestMemory returns the number of bytes that the heads and bodies of requests may
+// occupy, with what is made of them until the requests are answered.
+func (cg Config) RequestMemory() int64 {
+	return int64(cg.MemoryMB) * 1e6 / requestMemoryDivisor
+}
+
 // Validate returns a *contract.FieldError for the first field that is out of
 // its range.
 func (cg Config) Validate() error {
--- a/internal/node/entryvm/process.go
+++ b/internal/node/entryvm/process.go
@@ -45,6 +45,10 @@
 	claimSweepInterval = 10 * time.Minute
 	// receiptFlushTimeout bounds the write of the remaining receipts at shutdown.
 	receiptFlushTimeout = 5 * time.Second
+	// headerTimeout bounds the time to read the header of one request.
+	headerTimeout = 10 * time.Second
+	// writeTimeout bounds each write of an answer.
+	writeTimeout = time.Minute
 	// shutdownTimeout bounds the wait for requests still in flight at shutdown.
 	shutdownTimeout = 2 * time.Minute
 )
@@ -82,6 +86,8 @@
 	startedAt      time.Time
 	recentReceipts *ring.Ring[contract.Receipt]
 	callerHandler  *caller.Handler
+	// guard bounds what callers and operators occupy together.
+	guard *callerhttp.Guard
 	// callerListener accepts the callers' connections.
 	callerListener *callerhttp.Listener
 	grpc           *grpc.Server
@@ -96,6 +102,7 @@
 // and cuts requests in flight; Stop ends it gracefully.
 func Start(now time.Time, cg Config, nw Network, log *zap.Logger) (*Process, func(), error) {
 	ps := &Process{
+		guard:          callerhttp.NewGuard(cg.RequestMemory()),
 		Config:         cg,
 		Views:          rcu.New(view.View{}),
 		Confirmation:   &view.Confirmation{},
@@ -104,6 +111,8 @@
 		startedAt:      now,
 		recentReceipts: ring.New[contract.Receipt](cg.ReceiptsKept),
 	}
+	ps.guard.LeasesBodies = true
+	ps.guard.SetLimits(callerhttp.Limits{HeadBytes: cg.MaxHeaderBytes, HeadTimeout: headerTimeout})
 	ps.phase.Store("serving")
 	if err := ps.build(now, nw); err != nil {
 		ps.group.Close()
@@ -217,16 +226,18 @@
 	if err != nil {
 		return err
 	}
-	callerServer, raw, err := ps.listenHTTP(nw, ps.Config.CallerAddress, callers)
+	conns := callerhttp.ConnectionLimits(ps.Config.MaxDescriptors)
+	callerServer, callerListener, err := ps.listenHTTP(nw, ps.Config.CallerAddress, callers, conns.Callers)
 	if err != nil {
 		return err
 	}
-	ps.callerListener = callerhttp.Listen(raw, callerServer)
-	ps.group.Go(func() { _ = callerServer.Serve(ps.callerListener) })
-	operatorServer, operatorListener, err := ps.listenHTTP(nw, ps.Config.OperatorAddress, operatorRoutes)
+	operatorServer, operatorListener, err := ps.listenHTTP(nw, ps.Config.OperatorAddress, operatorRoutes, conns.Others)
 	if err != nil {
+		_ = callerListener.Close()
 		return err
 	}
+	ps.callerListener = callerListener
+	ps.group.Go(func() { _ = callerServer.Serve(callerListener) })
 	ps.group.Go(func() { _ = operatorServer.Serve(operatorListener) })
 	ls, err := nw.Listen(ps.Config.EntryAddress)
 	if err != nil {
@@ -240,12 +251,14 @@
 
 // listenHTTP returns a server with routes, which the process closes at its end, and
 // a listener for it.
-func (ps *Process) listenHTTP(nw Network, address string, routes http.Handler) (*http.Server, net.Listener, error) {
-	ls, err := nw.Listen(address)
+func (ps *Process) listenHTTP(nw Network, address string, routes http.Handler, maxConns int) (*http.Server, *callerhttp.Listener, error) {
+	raw, err := nw.Listen(address)
 	if err != nil {
 		return nil, nil, fmt.Errorf("listen on %s: %w", address, err)
 	}
-	hs := &http.Server{Handler: routes, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 2 * time.Minute}
+	hs := &http.Server{Handler: routes, ReadHeaderTimeout: headerTimeout, IdleTimeout: 2 * time.Minute}
+	ls := ps.guard.Listen(raw, hs, maxConns)
+	ls.WriteTimeout = writeTimeout
 	ps.group.Cleanup(func() { _ = hs.Close() })
 	return hs, ls, nil
 }
--- a/internal/node/forwardvm/config.go
+++ b/internal/node/forwardvm/config.go
@@ -93,13 +93,27 @@
 // garbage is collected when the heap has doubled.
 const messageMemoryDivisor = 8
 
+// headMemoryDivisor is the part of the VM's memory that the heads of requests may occupy.
+const headMemoryDivisor = 8
+
+// HeadMemory returns the number of bytes that the heads of requests may occupy, with what
+// is made of them until the requests are answered.
+func (cg Config) HeadMemory() int64 {
+	return cg.memory() / headMemoryDivisor
+}
+
+// memory returns the memory of this VM in bytes.
+func (cg Config) memory() int64 {
+	if cg.MemoryMB == 0 {
+		return defaultMemoryMB * 1e6
+	}
+	return int64(cg.MemoryMB) * 1e6
+}
+
 // MessageMemory returns the number of bytes that the bodies of requests and
 // answers in flight may occupy.
 func (cg Config) MessageMemory() int64 {
-	if cg.MemoryMB == 0 {
-		return defaultMemoryMB * 1e6 / messageMemoryDivisor
-	}
-	return int64(cg.MemoryMB) * 1e6 / messageMemoryDivisor
+	return cg.memory() / messageMemoryDivisor
 }
 
 // Defaults returns a config in which every field that has a default is set.
--- a/internal/node/forwardvm/process.go
+++ b/internal/node/forwardvm/process.go
@@ -74,8 +74,8 @@
 	idleTimeout = 2 * time.Minute
 	// headerTimeout bounds the time to read the header of one request.
 	headerTimeout = 10 * time.Second
-	// maxHeaderBytes bounds the size of the header of one request.
-	maxHeaderBytes = 64 << 10
+	// writeTimeout bounds each write of an answer to others than callers.
+	writeTimeout = time.Minute
 	// ackTimeout is how long sent data may stay unacknowledged before the
 	// connection counts as broken. It allows three retransmissions on links of
 	// this kind.
@@ -140,6 +140,8 @@
 	// about the latter, and lostLogs those about servers lost to requests.
 	departures, backOffs  atomic.Int64
 	backOffLogs, lostLogs *rate.Limiter
+	// guard bounds what callers on all addresses occupy together.
+	guard *callerhttp.Guard
 	// callerListener accepts the callers' connections.
 	callerListener *callerhttp.Listener
 	grpc           *grpc.Server
@@ -152,6 +154,7 @@
 // Stop ends it gracefully.
 func Start(now time.Time, cg Config, fe FrontEnd, log *zap.Logger, queue *events.Queue) (*Process, func(), error) {
 	ps := &Process{
+		guard:        callerhttp.NewGuard(cg.HeadMemory()),
 		Config:       cg,
 		settings:     rcu.New(cg),
 		Fleets:       rcu.New(view.Fleet{}),
@@ -285,7 +288,8 @@
 		return fmt.Errorf("listen on %s: %w", ps.Config.CallerAddress, err)
 	}
 	callers := newHTTPServer(fe.CallerHandler(ps))
-	ps.callerListener = callerhttp.Listen(raw, callers)
+	conns := callerhttp.ConnectionLimits(ps.Config.MaxDescriptors)
+	ps.callerListener = ps.guard.Listen(raw, callers, conns.Callers)
 	ps.group.Cleanup(func() { _ = callers.Close() })
 	ps.group.Go(func() { _ = callers.Serve(ps.callerListener) })
 	listeners := []struct {
@@ -302,7 +306,7 @@
 		}{ps.Config.MetricsAddress, ps.operatorRoutes()})
 	}
 	for _, ln := range listeners {
-		if err := ps.serveHTTP(ln.address, ln.handler); err != nil {
+		if err := ps.serveHTTP(ln.address, ln.handler, conns.Others); err != nil {
 			return err
 		}
 	}
@@ -318,17 +322,19 @@
 
 func newHTTPServer(handler http.Handler) *http.Server {
 	return &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		ErrorLog: zap.NewStdLog(zap.NewNop()),
 	}
 }
 
-func (ps *Process) serveHTTP(address string, handler http.Handler) error {
-	ls, err := net.Listen("tcp", address)
+func (ps *Process) serveHTTP(address string, handler http.Handler, maxConns int) error {
+	raw, err := net.Listen("tcp", address)
 	if err != nil {
 		return fmt.Errorf("listen on %s: %w", address, err)
 	}
 	hs := newHTTPServer(handler)
+	ls := ps.guard.Listen(raw, hs, maxConns)
+	ls.WriteTimeout = writeTimeout
 	ps.group.Cleanup(func() { _ = hs.Close() })
 	ps.group.Go(func() { _ = hs.Serve(ls) })
 	return nil
--- a/internal/node/forwardvm/state.go
+++ b/internal/node/forwardvm/state.go
@@ -134,6 +134,7 @@
 		"forward_unreadable":        float64(ps.unreadable.Total.Load()),
 		"forward_log_lines_dropped": float64(ps.droppedLines()),
 	})
+	ps.Metrics.SetGauges(ps.guard.Gauges("forward_"))
 }
 
 func (ps *Process) droppedLines() int64 {
--- a/internal/node/forwardvm/upkeep.go
+++ b/internal/node/forwardvm/upkeep.go
@@ -13,6 +13,8 @@
 
 	"daisystage.example/daisystage/internal/node/events"
 	"daisystage.example/daisystage/internal/peer/backend"
+	"daisystage.example/daisystage/internal/peer/callerhttp"
+	"daisystage.example/daisystage/internal/world/contract"
 	"daisystage.example/daisystage/internal/world/machine"
 	"daisystage.example/daisystage/internal/world/view"
 )
@@ -49,10 +51,20 @@
 		ps.Cluster.TriggerRound()
 	}
 	if after.Table != before.Table {
+		ps.guard.SetLimits(headLimits(after.Table))
 		events.TableInForce.Log(ps.Log, zap.Int64("version", after.Table.Version), zap.Int("routes", len(after.Table.Routes)))
 	}
 }
 
+// headLimits returns the limits of heads under a table.
+func headLimits(tb *contract.Table) callerhttp.Limits {
+	limits := callerhttp.Limits{HeadBytes: tb.Limits.HeaderBytes, HeadTimeout: tb.Limits.HeaderTimeout, FanOut: 1}
+	for _, route := range tb.Routes {
+		limits.FanOut = max(limits.FanOut, len(route.Shards))
+	}
+	return limits
+}
+
 // Current implements entry.Replica.
 func (ft *fleetTarget) Current() *view.Copy {
 	return &ft.process.Fleets.Load().Copy
@@ -153,6 +165,7 @@
 	ps.load.Store(smoothLoad(ps.load.Load(), ps.Service.AttemptsSent.Swap(0)))
 	ps.divideShares(now)
 	ps.publishGauges(now)
+	ps.guard.LogRefused(now, ps.Log)
 	ps.Backend.Prune(func(name, address string) bool {
 		sv := ps.Fleets.Load().Servers[name]
 		return sv != nil && sv.Address == address
