--- a/internal/node/events/events.go
+++ b/internal/node/events/events.go
@@ -62,6 +62,8 @@
 	AnswerWhole   = Event{504, "answer_whole", zapcore.InfoLevel}
 	OverLimit     = Event{505, "over_limit", zapcore.WarnLevel}
 
+	CallersRefused = Event{506, "callers_refused", zapcore.WarnLevel}
+
 	SettingAccepted = Event{601, "setting_accepted", zapcore.InfoLevel}
 	SettingRefused  = Event{602, "setting_refused", zapcore.WarnLevel}
 	TableInForce    = Event{603, "table_in_force", zapcore.InfoLevel}
@@ -77,7 +79,7 @@
 		ZoneEvacuated, ZoneTakenBack,
 		PeerFailed, PeerJoined, PeerSilent, Isolated, Confirmed, PulledFromPeer,
 		ServerLeaving, ServerLostToRequest, Quarantined, LibraryMessage, ServerBackOff, ServersCold,
-		AnswerPartial, AnswerRefused, AnswerUnknown, AnswerWhole, OverLimit,
+		AnswerPartial, AnswerRefused, AnswerUnknown, AnswerWhole, OverLimit, CallersRefused,
 		SettingAccepted, SettingRefused, TableInForce, KeysRefused, KeysAccepted,
 	}
 }
--- a/internal/node/forwardvm/upkeep.go
+++ b/internal/node/forwardvm/upkeep.go
@@ -15,6 +15,8 @@
 	"daisystage.example/daisystage/internal/node/events"
 	"daisystage.example/daisystage/internal/node/lifecycle"
 	"daisystage.example/daisystage/internal/peer/backend"
+	"daisystage.example/daisystage/internal/peer/callerhttp"
+	"daisystage.example/daisystage/internal/world/contract"
 	"daisystage.example/daisystage/internal/world/machine"
 	"daisystage.example/daisystage/internal/world/view"
 )
@@ -53,6 +55,7 @@
 	ps.logEvacuations(before.Evacuated, after.Evacuated)
 	if after.Table != before.Table {
 		ps.rates.share.SetVersion(after.Table.Version)
+		ps.guard.SetLimits(headLimits(after.Table))
 		events.TableInForce.Log(ps.Log, zap.Int64("version", after.Table.Version), zap.Int("routes", len(after.Table.Routes)),
 			zap.Int("customers", len(after.Table.Customers)), zap.Int("unusable_customers", after.Table.UnusableCustomers),
 			zap.Int("ambiguous_keys", after.Table.AmbiguousKeys))
@@ -73,6 +76,15 @@
 	}
 }
 
+// headLimits returns the limits of heads under a table.
+func headLimits(tb *contract.Table) callerhttp.Limits {
+	limits := callerhttp.Limits{HeadBytes: tb.Limits.HeaderBytes, HeadTimeout: tb.Limits.HeaderTimeout, FanOut: 1}
+	for _, route := range tb.Routes {
+		limits.FanOut = max(limits.FanOut, len(route.Shards))
+	}
+	return limits
+}
+
 // Current implements entry.Replica.
 func (ft *fleetTarget) Current() *view.Copy {
 	return &ft.process.Fleets.Load().Copy
@@ -196,6 +208,7 @@
 	ps.divideShares(now)
 	ps.Service.ForgetCosts(now)
 	ps.publishGauges(now)
+	ps.guard.LogRefused(now, ps.Log)
 	ps.Backend.Prune(func(name, address string) bool {
 		sv := ps.Fleets.Load().Servers[name]
 		return sv != nil && sv.Address == address
