--- a/internal/peer/platform/watcher_test.go
+++ b/internal/peer/platform/watcher_test.go
@@ -24,6 +24,8 @@
 	compacted map[string]bool
 	lists     map[string]int
 	fails     bool
+	// passedOn holds the versions that OnCall was told last.
+	passedOn map[string]int64
 }
 
 func (fr *fakeReader) List(_ context.Context, prefix string) ([]view.Object, int64, error) {
@@ -90,10 +92,13 @@
 func runWatcher(t *testing.T, do func(fr *fakeReader, rt *recordingTarget, wt *Watcher)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		fr := &fakeReader{version: 1, compacted: map[string]bool{}, lists: map[string]int{}}
+		fr := &fakeReader{version: 1, compacted: map[string]bool{}, lists: map[string]int{}, passedOn: map[string]int64{}}
 		rt := &recordingTarget{versions: map[string]int64{}}
 		pacing := WatchPacing{MaxWait: func(string) time.Duration { return time.Hour }}
 		wt := NewWatcher(fr, []string{"config/", "servers/"}, rt, pacing, zap.NewNop())
+		wt.OnCall = func(prefix string) func(int64) {
+			return func(version int64) { fr.set(func() { fr.passedOn[prefix] = version }) }
+		}
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
 		go func() {
@@ -283,10 +288,10 @@
 			fr.lock.Unlock()
 		}
 		time.Sleep(time.Second)
-		assert.Equal(t, rt.version("config/main"), fr.changedAt)
-		assert.Assert(t, answers > 5)
 		cancel()
 		<-done
+		assert.Equal(t, rt.version("config/main"), fr.changedAt)
+		assert.Assert(t, answers > 5)
 	})
 }
 
@@ -294,15 +299,11 @@
 // platform that lags behind and counts as its newest state.
 func TestAnswerOfLaggingStoreIsNotPassedOn(t *testing.T) {
 	runWatcher(t, func(fr *fakeReader, _ *recordingTarget, wt *Watcher) {
-		var passedOn atomic.Int64
-		wt.lock.Lock()
-		wt.OnCall = func(string) func(int64) { return func(version int64) { passedOn.Store(version) } }
-		wt.lock.Unlock()
 		for _, step := range []struct{ version, want int64 }{{7, 7}, {6, 7}, {8, 8}} {
 			fr.set(func() { fr.version = step.version })
 			wt.Refresh("config/")
 			time.Sleep(time.Second)
-			assert.Equal(t, passedOn.Load(), step.want)
+			fr.set(func() { assert.Equal(t, fr.passedOn["config/"], step.want) })
 		}
 	})
 }
--- a/internal/query/forward/key_test.go
+++ b/internal/query/forward/key_test.go
@@ -67,7 +67,7 @@
 			fe := &fakeEngine{mayHaveRun: true, answer: func(shard string) scatter.PartResult[Answer] { return answeredPart(shard, "") }}
 			sv, _ := newService(t, fe)
 			now := time.Now()
-			sv.Freshness.ConfirmByStore(bootTime - tt.age, 1, 1)
+			sv.Freshness.ConfirmByStore(bootTime-tt.age, 1, 1)
 			sv.KeyBounds = func() view.KeyBounds { return view.KeyBounds{ApplyWithin: 5 * time.Second, RevokeWithin: tt.revoke} }
 			withCustomers(sv, tt.customers...)
 			_, err := sv.Run(t.Context(), now, callWithKey(tt.key))
@@ -145,6 +145,6 @@
 	assert.Assert(t, attempt.MaySend())
 	now += 3600 * time.Millisecond
 	assert.Assert(t, !attempt.MaySend())
-	sv.Freshness.ConfirmByStore(now - time.Second, 1, 1)
+	sv.Freshness.ConfirmByStore(now-time.Second, 1, 1)
 	assert.Assert(t, attempt.MaySend(), "confirmed again")
 }
