Check that the operations page lists the metrics of all files

The check read two files, so that metrics of new files were missing from the page or the other way round. Name the metrics of the guard where they are exported.

--- a/internal/node/entryvm/upkeep.go
+++ b/internal/node/entryvm/upkeep.go
@@ -40,7 +40,7 @@
 			continue
 		}
 		ps.Metrics.SetGauges(ps.gaugeValues(now))
-		ps.Metrics.SetGauges(ps.guard.Gauges(""))
+		ps.Metrics.SetGauges(ps.guard.Gauges())
 		ps.guard.LogRefused(now, ps.Log)
 		ps.logLeavingServers(now, leaving)
 		if vw := ps.Views.Load(); vw.Version != version {
--- a/internal/node/forwardvm/operations_test.go
+++ b/internal/node/forwardvm/operations_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"path/filepath"
 	"regexp"
 	"slices"
 	"strings"
@@ -17,7 +18,12 @@
 	assert.NilError(t, err)
 	name := regexp.MustCompile(`"(forward_[a-z_]+)"`)
 	var inCode []string
-	for _, file := range []string{"observer.go", "state.go"} {
+	files, err := filepath.Glob("*.go")
+	assert.NilError(t, err)
+	for _, file := range files {
+		if strings.HasSuffix(file, "_test.go") {
+			continue
+		}
 		source, err := os.ReadFile(file)
 		assert.NilError(t, err)
 		for _, match := range name.FindAllStringSubmatch(string(source), -1) {
--- a/internal/node/forwardvm/state.go
+++ b/internal/node/forwardvm/state.go
@@ -13,6 +13,7 @@
 	"daisystage.example/daisystage/internal/node/bootclock"
 	"daisystage.example/daisystage/internal/node/events"
 	"daisystage.example/daisystage/internal/peer/backend"
+	"daisystage.example/daisystage/internal/peer/callerhttp"
 	"daisystage.example/daisystage/internal/peer/platform"
 	"daisystage.example/daisystage/internal/world/contract"
 	"daisystage.example/daisystage/internal/world/machine"
@@ -171,7 +172,15 @@
 		"forward_unreadable":        float64(ps.unreadable.Total.Load()),
 		"forward_log_lines_dropped": float64(ps.droppedLines()),
 	})
-	ps.Metrics.SetGauges(ps.guard.Gauges("forward_"))
+	ps.Metrics.SetGauges(map[string]float64{
+		"forward_callers_leased_bytes":                 float64(ps.guard.Leased()),
+		"forward_callers_connections":                  float64(ps.guard.Connections()),
+		"forward_callers_refused_head_too_large":       float64(ps.guard.Refused(callerhttp.HeadTooLarge)),
+		"forward_callers_refused_no_memory":            float64(ps.guard.Refused(callerhttp.NoMemory)),
+		"forward_callers_refused_unfinished_dropped":   float64(ps.guard.Refused(callerhttp.UnfinishedDropped)),
+		"forward_callers_refused_connection_displaced": float64(ps.guard.Refused(callerhttp.ConnectionDisplaced)),
+		"forward_callers_refused_connection_refused":   float64(ps.guard.Refused(callerhttp.ConnectionRefused)),
+	})
 }
 
 // boolGauge returns 1 for true and 0 for false.
--- a/internal/peer/callerhttp/guard.go
+++ b/internal/peer/callerhttp/guard.go
@@ -161,14 +161,14 @@
 	return gd.refused[rf].Load()
 }
 
-// Gauges returns the figures of the guard by name, with a prefix.
-func (gd *Guard) Gauges(prefix string) map[string]float64 {
+// Gauges returns the figures of the guard by name.
+func (gd *Guard) Gauges() map[string]float64 {
 	gauges := map[string]float64{
-		prefix + "callers_leased_bytes": float64(gd.Leased()),
-		prefix + "callers_connections":  float64(gd.Connections()),
+		"callers_leased_bytes": float64(gd.Leased()),
+		"callers_connections":  float64(gd.Connections()),
 	}
 	for _, rf := range Refusals() {
-		gauges[prefix+"callers_refused_"+rf.String()] = float64(gd.Refused(rf))
+		gauges["callers_refused_"+rf.String()] = float64(gd.Refused(rf))
 	}
 	return gauges
 }
