Count peers that were never found as the other side, document shared rates

Change: for ten minutes after the start, the part of the peers in the settings that was found bounds the part that is granted.

--- a/internal/node/forwardvm/rates.go
+++ b/internal/node/forwardvm/rates.go
@@ -72,7 +72,6 @@
 	rt.leases = &entry.Leases{
 		Cluster: ps.Cluster, Transport: transport, Share: rt.share, Owner: rt.owner,
 		Now: rateNow, StartedAt: rateNow(), IsFirst: ps.Config.FirstStart,
-		HasPeers:      func() bool { return len(ps.settings.Load().Peers) > 0 },
 		IsDiscovering: func() bool { return ps.isDiscoveringPeers(time.Now()) },
 	}
 	rt.leases.Init()
--- a/internal/peer/entry/lease.go
+++ b/internal/peer/entry/lease.go
@@ -48,9 +48,8 @@
 	// callers before.
 	StartedAt time.Time
 	IsFirst   bool
-	// HasPeers reports whether the settings name other entry VMs, IsDiscovering whether
-	// some may not be known yet.
-	HasPeers, IsDiscovering func() bool
+	// IsDiscovering reports whether some entry VMs may not be known yet.
+	IsDiscovering func() bool
 
 	refresh chan struct{}
 	// vms and holderSince are used by Run only.
@@ -110,7 +109,7 @@
 	now := ls.Now()
 	// Heartbeats are dated by the clock of package time.
 	heartbeatNow := time.Now()
-	placement := ls.vms.Update(heartbeatNow, ls.Cluster.Members(heartbeatNow), ls.HasPeers())
+	placement := ls.vms.Update(heartbeatNow, ls.Cluster.Members(heartbeatNow), *ls.Cluster.seeds.Load())
 	next := &contract.RatePlace{
 		Self: ls.Cluster.Self.Name, Owners: placement.Owners, Holders: placement.Holders, Part: placement.Part,
 		Ready: !ls.IsDiscovering(), Leaving: ls.Cluster.leaving.Load(),
--- a/internal/peer/entry/lease_test.go
+++ b/internal/peer/entry/lease_test.go
@@ -60,7 +60,7 @@
 	for _, cr := range all {
 		ls := &Leases{
 			Cluster: cr, Transport: ln, Share: contract.NewRateShare(leaseBounds), Owner: contract.NewRateOwner(leaseBounds, false),
-			Now: time.Now, StartedAt: started, HasPeers: func() bool { return true },
+			Now: time.Now, StartedAt: started,
 			IsDiscovering: func() bool { return time.Since(started) < 3*time.Second },
 		}
 		ls.Init()
--- a/internal/world/contract/rateowner_test.go
+++ b/internal/world/contract/rateowner_test.go
@@ -127,8 +127,10 @@
 	low := contract.SharedRate{PerSecond: 1, Burst: 2}
 	assert.Assert(t, op.ask(contract.RateDemand{Rate: low, Version: 8, Wanted: 100}).Tokens <= 2)
 	op.pass(time.Second)
-	assert.Assert(t, op.ask(contract.RateDemand{Rate: testRate, Version: 7, Wanted: 100}).Tokens <= 2)
-	op.pass(time.Second)
+	for range 2 {
+		assert.Assert(t, op.ask(contract.RateDemand{Rate: testRate, Version: 7, Wanted: 100}).Tokens <= 2)
+		op.pass(time.Second)
+	}
 	op.ask(contract.RateDemand{Rate: testRate, Version: 9})
 	op.pass(time.Second)
 	assert.Assert(t, op.ask(contract.RateDemand{Rate: testRate, Version: 9, Wanted: 100}).Tokens >= 9, "a raised limit holds at once")
@@ -155,10 +157,9 @@
 		defer share.Await(rateStart, rateKey)()
 		ask, isNew := share.Ask(rateStart, rateKey)
 		assert.Assert(t, isNew)
-		for range 2 {
-			share.Apply(rateStart.Add(tt.answered), ask, contract.RateGrant{Tokens: 1})
-		}
+		share.Apply(rateStart.Add(tt.answered), ask, contract.RateGrant{Tokens: 1})
 		assert.Equal(t, share.TryTake(rateStart.Add(tt.taken), rateKey, testRate), tt.want, fmt.Sprint(tt))
+		share.Apply(rateStart.Add(tt.answered), ask, contract.RateGrant{Tokens: 1})
 		assert.Assert(t, !share.TryTake(rateStart.Add(tt.taken), rateKey, testRate), "a doubled answer")
 	}
 }
--- a/internal/world/contract/rateplace.go
+++ b/internal/world/contract/rateplace.go
@@ -13,16 +13,17 @@
 	// Self is this VM. Owners are the live VMs among which the owners of keys are
 	// chosen, and Holders those that may spend advances, including silent ones. The
 	// latter are the same on both sides of a partition.
-	Self    string
-	Owners  []string
-	Holders []string
+	Self    string   `json:"self"`
+	Owners  []string `json:"owners"`
+	Holders []string `json:"holders"`
 	// HolderSince is when this VM became one of Holders, or its process started: its
 	// advances count from then.
-	HolderSince time.Time
+	HolderSince time.Time `json:"-"`
 	// Part is the part of each rate that this VM may grant, from 0 to 1.
-	Part float64
+	Part float64 `json:"part"`
 	// Ready is unset while this process discovers its peers, Leaving set while it stops.
-	Ready, Leaving bool
+	Ready   bool `json:"ready"`
+	Leaving bool `json:"leaving"`
 }
 
 // mixRate returns a hash of a VM and a key, by which VMs are ranked for the key.
--- a/internal/world/contract/rateworld_test.go
+++ b/internal/world/contract/rateworld_test.go
@@ -143,7 +143,7 @@
 // beat sends heartbeats to all VMs once a second.
 func (rw *rateWorld) beat(vm *ratePlayer) {
 	record := machine.EntryVM{
-		Name: vm.name, Zone: vm.zone, Capacity: vm.capacity, Incarnation: vm.incarnation, Leaving: vm.leaving, Version: 1, LastHeartbeat: rw.now,
+		Name: vm.name, Zone: vm.zone, EntryAddress: vm.name, Capacity: vm.capacity, Incarnation: vm.incarnation, Leaving: vm.leaving, Version: 1, LastHeartbeat: rw.now,
 	}
 	for _, other := range rw.vms {
 		if other == vm {
@@ -163,11 +163,11 @@
 }
 
 func (rw *rateWorld) tick(vm *ratePlayer) {
-	members := []machine.EntryVM{{Name: vm.name, Zone: vm.zone, Capacity: vm.capacity, Leaving: vm.leaving, Version: 1, LastHeartbeat: rw.now}}
+	members := []machine.EntryVM{{Name: vm.name, Zone: vm.zone, EntryAddress: vm.name, Capacity: vm.capacity, Leaving: vm.leaving, Version: 1, LastHeartbeat: rw.now}}
 	for _, record := range vm.heard {
 		members = append(members, record)
 	}
-	placement := vm.vms.Update(rw.now, members, len(rw.vms) > 1)
+	placement := vm.vms.Update(rw.now, members, rw.peersOf(vm))
 	place := &contract.RatePlace{
 		Self: vm.name, Owners: placement.Owners, Holders: placement.Holders, HolderSince: vm.holderSince,
 		Part: placement.Part, Ready: rw.now.Sub(vm.startedAt) > 3*time.Second, Leaving: vm.leaving,
@@ -191,6 +191,17 @@
 	rw.at(vm, contract.RateInterval, func() { rw.tick(vm) })
 }
 
+// peersOf returns the peers in the settings of a VM.
+func (rw *rateWorld) peersOf(vm *ratePlayer) []string {
+	var peers []string
+	for _, other := range rw.vms[:min(len(rw.vms), 5)] {
+		if other != vm {
+			peers = append(peers, other.name)
+		}
+	}
+	return peers
+}
+
 func (rw *rateWorld) find(name string) *ratePlayer {
 	return rw.vms[slices.IndexFunc(rw.vms, func(vm *ratePlayer) bool { return vm.name == name })]
 }
--- a/internal/world/machine/ratevms.go
+++ b/internal/world/machine/ratevms.go
@@ -27,6 +27,8 @@
 // RateVMs remembers the VMs that share rates. It is used by one goroutine.
 type RateVMs struct {
 	known map[string]rateVM
+	// startedAt is when Update was first called.
+	startedAt time.Time
 }
 
 type rateVM struct {
@@ -44,9 +46,9 @@
 	Part float64
 }
 
-// Update takes over the members of the cluster. hasPeers tells whether there are others
-// according to the settings.
-func (rv *RateVMs) Update(now time.Time, members []EntryVM, hasPeers bool) RatePlacement {
+// Update takes over the members of the cluster. peers are the entry addresses of other VMs
+// in the settings, not necessarily all.
+func (rv *RateVMs) Update(now time.Time, members []EntryVM, peers []string) RatePlacement {
 	rv.remember(now, members)
 	zones := map[string][]EntryVM{}
 	for _, known := range rv.known {
@@ -58,7 +60,7 @@
 		for _, vm := range largestVMs(vms)[:min(len(vms), ratesPerZone)] {
 			rp.Holders = append(rp.Holders, vm.Name)
 			known := rv.known[vm.Name]
-			if known.readyAt.Equal(now) {
+			if known.readyAt.Equal(now) && known.leftAt.IsZero() {
 				rp.Owners = append(rp.Owners, vm.Name)
 			}
 			if known.leftAt.IsZero() {
@@ -68,12 +70,32 @@
 	}
 	slices.Sort(rp.Holders)
 	slices.Sort(rp.Owners)
-	if staying > 0 && (len(rv.known) > 1 || !hasPeers) {
-		rp.Part = ratePart(float64(len(rp.Owners)) / float64(staying))
+	if staying > 0 {
+		rp.Part = ratePart(min(float64(len(rp.Owners))/float64(staying), rv.foundPeers(now, peers)))
 	}
 	return rp
 }
 
+// foundPeers returns the part of the peers in the settings that were found. A VM that
+// started during a partition knows of the other side from the settings only. After
+// rateMemory, those that were not found are taken for gone.
+func (rv *RateVMs) foundPeers(now time.Time, peers []string) float64 {
+	if len(peers) == 0 || now.Sub(rv.startedAt) > rateMemory {
+		return 1
+	}
+	found := map[string]bool{}
+	for _, known := range rv.known {
+		found[known.vm.EntryAddress] = true
+	}
+	count := 0
+	for _, peer := range peers {
+		if found[peer] {
+			count++
+		}
+	}
+	return float64(count) / float64(len(peers))
+}
+
 // ratePart returns the part of the rates for a part of the owners. The parts of disjoint
 // sets of owners together are at most 1.
 func ratePart(seen float64) float64 {
@@ -88,7 +110,7 @@
 
 func (rv *RateVMs) remember(now time.Time, members []EntryVM) {
 	if rv.known == nil {
-		rv.known = map[string]rateVM{}
+		rv.known, rv.startedAt = map[string]rateVM{}, now
 	}
 	for _, vm := range members {
 		known, ok := rv.known[vm.Name]
