--- a/internal/peer/callerhttp/meter_test.go
+++ b/internal/peer/callerhttp/meter_test.go
@@ -228,6 +228,8 @@
 		cn, _ := dialTo(t, ls)
 		fmt.Fprint(cn, "G")
 	}
+	// A connection with unread bytes may hold a request, and is not closed for another one.
+	awaitRead(ls)
 	cn, reader := dialTo(t, ls)
 	fmt.Fprint(cn, testRequest)
 	status, _, err := answerOf(reader)
@@ -241,6 +243,17 @@
 	assert.Equal(t, status, http.StatusNoContent)
 }
 
+// awaitRead waits until the server has read what arrived on the connections of a listener.
+func awaitRead(ls *Listener) {
+	for unread := true; unread; {
+		time.Sleep(time.Millisecond)
+		unread = waitingConns(ls.Listener) > 0
+		for key := range ls.conns.Range {
+			unread = unread || hasUnread(key.(*conn).Conn)
+		}
+	}
+}
+
 // TestRequestsArePassedOnUnchanged sends requests in a row, cut into pieces anywhere. It
 // guards against a reader that changes, loses or mixes up bytes of heads and bodies, or
 // that waits for more than a request.
