--- a/internal/world/contract/table.go
+++ b/internal/world/contract/table.go
@@ -2,8 +2,6 @@
 
 import (
 	"cmp"
-	"errors"
-	"fmt"
 	"maps"
 	"slices"
 	"strings"
@@ -56,25 +54,25 @@
 // Validate checks the name, host, prefix, targets, timeout and minimum coverage of
 // the route.
 func (fr *ForwardRoute) Validate() error {
-	switch {
-	case fr.Name == "" || fr.Host == "":
-		return errors.New("route without name or host")
-	case !strings.HasPrefix(fr.Prefix, "/") || !strings.HasSuffix(fr.Prefix, "/"):
-		return fmt.Errorf("route %s: prefix %q does not begin and end with a slash", fr.Name, fr.Prefix)
-	case (len(fr.Services) == 0) == (len(fr.Shards) == 0):
-		return fmt.Errorf("route %s: names no service, or services and shards", fr.Name)
-	case fr.Timeout <= 0:
-		return fmt.Errorf("route %s: timeout %s is not positive", fr.Name, fr.Timeout)
-	case fr.TopK < 0 || fr.TopK > maxTopK:
-		return fmt.Errorf("route %s: %d records are not in 0 to %d", fr.Name, fr.TopK, maxTopK)
-	case len(fr.Services) > 0 && !hasPositiveWeight(fr.Services):
-		return fmt.Errorf("route %s: a weight is negative, or none is positive", fr.Name)
-	case fr.MinCoverage < 0 || fr.MinCoverage > maxShare:
-		return fmt.Errorf("route %s: minimum coverage %g is not in 0 to 1", fr.Name, fr.MinCoverage)
-	case len(fr.Shards) > 0 && !fr.Idempotent:
-		return fmt.Errorf("route %s: shards are gathered for idempotent requests only", fr.Name)
-	}
-	return nil
+	return fr.faults().first()
+}
+
+// faults returns all that makes the route unusable.
+func (fr *ForwardRoute) faults() faults {
+	var fs faults
+	fs.addIf(fr.Name == "", FieldName, "route without name or host")
+	fs.addIf(fr.Name != "" && fr.Host == "", FieldHost, "route without name or host")
+	fs.addIf(!strings.HasPrefix(fr.Prefix, "/") || !strings.HasSuffix(fr.Prefix, "/"), FieldPrefix,
+		"route %s: prefix %q does not begin and end with a slash", fr.Name, fr.Prefix)
+	fs.addIf((len(fr.Services) == 0) == (len(fr.Shards) == 0), "", "route %s: names no service, or services and shards", fr.Name)
+	fs.addIf(fr.Timeout <= 0, FieldTimeout, "route %s: timeout %s is not positive", fr.Name, fr.Timeout)
+	fs.addIf(fr.TopK < 0 || fr.TopK > maxTopK, FieldTopK, "route %s: %d records are not in 0 to %d", fr.Name, fr.TopK, maxTopK)
+	fs.addIf(len(fr.Services) > 0 && !hasPositiveWeight(fr.Services), FieldServices,
+		"route %s: a weight is negative, or none is positive", fr.Name)
+	fs.addIf(fr.MinCoverage < 0 || fr.MinCoverage > maxShare, FieldMinCoverage,
+		"route %s: minimum coverage %g is not in 0 to 1", fr.Name, fr.MinCoverage)
+	fs.addIf(len(fr.Shards) > 0 && !fr.Idempotent, FieldShards, "route %s: shards are gathered for idempotent requests only", fr.Name)
+	return fs
 }
 
 // hasPositiveWeight reports whether a service has a positive weight, and none a
@@ -112,6 +110,13 @@
 	WarmUpRate float64       `json:"warm_up_rate,omitempty"`
 }
 
+// faults returns all that makes the service unusable.
+func (se *Service) faults() faults {
+	var fs faults
+	fs.addIf(se.ConnectionLimit < 0, FieldConnectionLimit, "service %s: connection limit %d is negative", se.Name, se.ConnectionLimit)
+	return fs
+}
+
 // CallerLimits limits the requests and connections of callers.
 type CallerLimits struct {
 	// HeaderBytes and BodyBytes are positive.
@@ -150,8 +155,8 @@
 func NewTable(version int64, routes []*ForwardRoute, services []Service, limits CallerLimits) (*Table, error) {
 	tb := &Table{Version: version, Services: map[string]Service{}, Limits: limits, Routes: routes, hosts: map[string][]*ForwardRoute{}}
 	for _, se := range services {
-		if se.ConnectionLimit < 0 {
-			return nil, fmt.Errorf("service %s: connection limit %d is negative", se.Name, se.ConnectionLimit)
+		if err := se.faults().first(); err != nil {
+			return nil, err
 		}
 		se.ConnectionLimit = min(max(se.ConnectionLimit, 1), maxConnectionLimit)
 		tb.Services[se.Name] = se
