--- a/cmd/daisystage/check.go
+++ b/cmd/daisystage/check.go
@@ -12,20 +12,25 @@
 	"daisystage.example/daisystage/internal/world/contract"
 )
 
-const usageCheck = `Check an entry.toml, or the text of a setting, without putting it in force.
+const usageCheck = `Check a file before it is put in force.
 
-The error names the file, the line, the key and the accepted range.
+Without a subcommand: an entry.toml, or the text of a setting. The error names the
+file, the line, the key and the accepted range.
 
 Examples:
   daisystage check --config entry.toml
-  daisystage check --path teams/gaisma/routes/find --file find.toml`
+  daisystage check --path teams/gaisma/routes/find --file find.toml
+  daisystage check config new.json --against in-force.json`
 
 func addCheck(app *kingpin.Application, tl terminal) {
 	cmd := app.Command("check", usageCheck)
-	config := cmd.Flag("config", "The entry.toml to check.").String()
-	path := cmd.Flag("path", "Path of the setting to check.").String()
-	file := cmd.Flag("file", "Text of the setting; standard input by default.").String()
-	cmd.Action(action(func() error { return check(*config, *path, *file, tl) }))
+	// The default, so that the flags may follow "check".
+	entry := cmd.Command("entry", "Check an entry.toml, or the text of a setting.\n\nExample: daisystage check --config entry.toml").Default()
+	config := entry.Flag("config", "The entry.toml to check.").String()
+	path := entry.Flag("path", "Path of the setting to check.").String()
+	file := entry.Flag("file", "Text of the setting; standard input by default.").String()
+	entry.Action(action(func() error { return check(*config, *path, *file, tl) }))
+	addCheckConfig(cmd, tl)
 }
 
 func check(config, path, file string, tl terminal) error {
@@ -63,7 +68,7 @@
 	}
 	body, err := os.ReadFile(path)
 	if err != nil {
-		return "", fmt.Errorf("read setting: %w", err)
+		return "", fmt.Errorf("read file: %w", err)
 	}
 	return string(body), nil
 }
--- a/cmd/daisystage/main_test.go
+++ b/cmd/daisystage/main_test.go
@@ -64,7 +64,7 @@
 
 // TestHelpShowsExamples checks that the help of each subcommand has an example.
 func TestHelpShowsExamples(t *testing.T) {
-	for _, command := range []string{"serve", "check", "settings put", "settings get", "settings log", "settings wait", "query", "explain", "dump", "demo"} {
+	for _, command := range []string{"serve", "check", "check entry", "check config", "settings put", "settings get", "settings log", "settings wait", "query", "explain", "dump", "demo"} {
 		var out, errs bytes.Buffer
 		code := run(append([]string{"help"}, strings.Fields(command)...), terminal{out: &out, err: &errs})
 		assert.Equal(t, code, exitOK)
