--- a/internal/world/contract/review_test.go
+++ b/internal/world/contract/review_test.go
@@ -1,6 +1,7 @@
 package contract
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 	"testing"
@@ -100,18 +101,42 @@
 // TestReviewOfShardsBelowCoverage guards against a minimum coverage that the listed shards
 // can't reach, and against rounding errors of one that they reach exactly.
 func TestReviewOfShardsBelowCoverage(t *testing.T) {
-	for _, tt := range []struct {
-		coverage float64
-		isError  bool
-	}{{2.0 / 3, false}, {0.67, true}, {0, false}} {
+	tests := []struct {
+		listed, shards int
+		coverage       float64
+		isError        bool
+	}{
+		{2, 3, 2.0 / 3, false},
+		{2, 3, 0.67, true},
+		{2, 3, 0, false},
+		// The product is 14.000000000000002.
+		{14, 25, 0.56, false},
+		{13, 25, 0.56, true},
+		{20, 20, 1, false},
+	}
+	for _, tt := range tests {
 		ls := newListing()
-		ls.Routes[0].Shards = []string{"s1", "s2", "gone"}
-		ls.Routes[0].MinCoverage = tt.coverage
+		ls.Routes[0].Shards, ls.Routes[0].MinCoverage = nil, tt.coverage
+		for i := range tt.shards {
+			name := fmt.Sprintf("shard-%d", i)
+			ls.Routes[0].Shards = append(ls.Routes[0].Shards, name)
+			if i < tt.listed {
+				ls.Services = append(ls.Services, Service{Name: name, ConnectionLimit: 20})
+			}
+		}
 		isCoverage := func(fi Finding) bool { return fi.Place.Field == FieldMinCoverage }
-		assert.Equal(t, slices.ContainsFunc(ls.Review(0), isCoverage), tt.isError, "%g", tt.coverage)
+		assert.Equal(t, slices.ContainsFunc(ls.Review(0), isCoverage), tt.isError, "%v", tt)
 	}
 }
 
+// TestReviewChangesNothing guards against a review after which the listing is another one.
+func TestReviewChangesNothing(t *testing.T) {
+	ls := newListing()
+	ls.Routes[0].Shards = []string{"s1", "s2", "s1", "s1"}
+	ls.Review(20)
+	assert.DeepEqual(t, ls.Routes[0].Shards, []string{"s1", "s2", "s1", "s1"})
+}
+
 // TestReviewSaysWhatNewTableSays guards against a listing that NewTable refuses and Review
 // passes, or describes in other words.
 func TestReviewSaysWhatNewTableSays(t *testing.T) {
