Let a customer's bucket hold a part of the tolerance

The traces show customers with a limit of 5 a second and a burst of 5, whose requests come at random: the bucket of the burst runs empty now and then at four fifths of the rate.

Cause: the owner used none of the tolerance that the window allows, while the advances used 0.7 of it.

The bound of the window holds as before in the tests under generated orders.

--- a/internal/world/contract/rateowner.go
+++ b/internal/world/contract/rateowner.go
@@ -218,7 +218,7 @@
 	if owned.part <= 0 {
 		return 0
 	}
-	return max(1, owned.part*owned.rate.Burst+ro.perSecond(key, owned)*RateLease.Seconds())
+	return max(1, owned.part*ro.bounds.of(key.Kind).bucketSize(owned.rate)+ro.perSecond(key, owned)*RateLease.Seconds())
 }
 
 // outstanding returns the tokens in leases that may not have ended.
