Do not keep the part of a former owner, wake for lacked tokens only

A key whose owner did not answer was never forgotten. Each key that came into use ran a round of the exchange. Change: the own part holds once it is known; a key is forgotten 20 s after its last use; only MayTake wakes the exchange, at most every 50 ms.

--- a/internal/peer/entry/lease.go
+++ b/internal/peer/entry/lease.go
@@ -22,6 +22,8 @@
 	// awaitTimeout limits how long a request waits for tokens: several round trips
 	// between zones.
 	awaitTimeout = 150 * time.Millisecond
+	// wakePause is the least time between two rounds of requests for lacked tokens.
+	wakePause = 50 * time.Millisecond
 	// maxAwaits is the number of answers for which a request waits, since others may
 	// take the tokens of the first.
 	maxAwaits = 3
@@ -86,13 +88,20 @@
 	}
 	ticker := time.NewTicker(contract.RateInterval)
 	defer ticker.Stop()
+	ls.updatePlace()
+	wake, pause := ls.Share.Wake(), (<-chan time.Time)(nil)
 	for {
-		ls.updatePlace()
-		ls.sendAll(ctx)
 		select {
 		case <-ticker.C:
-		case <-ls.Share.Wake():
+			ls.updatePlace()
+			ls.sendAll(ctx)
+		case <-wake:
+			ls.sendAll(ctx)
+			wake, pause = nil, time.After(wakePause)
+		case <-pause:
+			wake = ls.Share.Wake()
 		case <-ls.refresh:
+			ls.updatePlace()
 		case <-ctx.Done():
 			return
 		}
--- a/internal/world/contract/ratehandover.go
+++ b/internal/world/contract/ratehandover.go
@@ -97,9 +97,14 @@
 	if !handover.Done || ro.keys[claim.Key] != nil || !ro.isCurrent(now) {
 		return
 	}
+	part := ro.part
+	if !ro.isReady {
+		// This process does not know its own part yet.
+		part = handover.Part
+	}
 	owned := &ownedRate{
 		rate: claim.Rate, version: claim.Version, level: handover.Level, filledAt: now, usedAt: now,
-		part: handover.Part, senders: map[string]*rateSender{},
+		part: part, senders: map[string]*rateSender{},
 	}
 	owned.advance(now)
 	owned.grants[owned.step%(leaseSteps+1)] = handover.Leased
--- a/internal/world/contract/rateowner.go
+++ b/internal/world/contract/rateowner.go
@@ -166,7 +166,7 @@
 	default:
 		ro.raiseFrom = time.Time{}
 	}
-	if part == ro.part {
+	if part == ro.part && ro.isReady {
 		return
 	}
 	ro.part = part
--- a/internal/world/contract/rateowner_test.go
+++ b/internal/world/contract/rateowner_test.go
@@ -209,12 +209,47 @@
 	assert.Assert(t, handover.Done && handover.Leased == 60, handover)
 	assert.Equal(t, old.ask(contract.RateDemand{Wanted: 1}), contract.RateGrant{Owner: next})
 	assert.Assert(t, !old.HandOver(old.now, next, claim).Done, "a doubled claim")
+	handover.Part = 0.5
 	fresh.Accept(fresh.now, claim, handover)
 	assert.Equal(t, fresh.ask(contract.RateDemand{Wanted: 100}).Tokens, int64(handover.Level))
+	fresh.place = &contract.RatePlace{Self: next, Owners: both, Holders: both, Part: 1, Ready: true}
+	fresh.Update(fresh.now, fresh.place)
+	states, _ := fresh.States(fresh.now, 1)
+	assert.Equal(t, states[0].Part, 1.0, "the part of the former owner does not stay")
 	fresh.Accept(fresh.now, claim, handover)
 	assert.Equal(t, fresh.ask(contract.RateDemand{Wanted: 100}).Tokens, int64(0))
 }
 
+// TestMayTakeRequestsTokens guards against a key for which tokens are never requested, since
+// MayTake finds none.
+func TestMayTakeRequestsTokens(t *testing.T) {
+	share, op := contract.NewRateShare(contract.RateBounds{Customers: quotaBounds}), newOwnerPlayer(soleOwner("a"))
+	place := soleOwner("a")
+	place.Holders = nil
+	share.SetPlace(place)
+	op.pass(20 * time.Second)
+	assert.Assert(t, !share.MayTake(op.now, rateKey, testRate))
+	<-share.Wake()
+	asks, inUse := share.NextAsks(op.now)
+	assert.Assert(t, len(asks) == 1 && inUse)
+	share.Apply(op.now, asks[0], op.Grant(op.now, "vm", 1, []contract.RateDemand{asks[0].Demand})[0])
+	assert.Assert(t, share.MayTake(op.now, rateKey, testRate))
+	assert.Assert(t, share.TryTake(op.now, rateKey, testRate))
+	assert.Assert(t, !share.MayTake(op.now, rateKey, testRate))
+	share.Return(op.now, rateKey)
+	assert.Assert(t, share.MayTake(op.now, rateKey, testRate))
+	for range 120 {
+		op.now = op.now.Add(contract.RateInterval)
+		asks, inUse = share.NextAsks(op.now)
+		for _, ask := range asks {
+			share.Fail(op.now, ask)
+		}
+	}
+	assert.Assert(t, !inUse, "an idle key is forgotten, also if the owner does not answer")
+	_, known := share.States(op.now, 1)
+	assert.Equal(t, known, 0)
+}
+
 // TestRetryAfterIsTrue guards against refused callers that are told to return before there
 // are tokens for all of them.
 func TestRetryAfterIsTrue(t *testing.T) {
--- a/internal/world/contract/rateshare.go
+++ b/internal/world/contract/rateshare.go
@@ -41,7 +41,7 @@
 	// version is that of the configuration in force.
 	version atomic.Int64
 	// woken is a stack of the slots that came into use and that NextAsks has not seen
-	// yet; wake tells that it is not empty.
+	// yet. wake receives when MayTake lacked a token.
 	woken atomic.Pointer[rateSlot]
 	wake  chan struct{}
 	// active are the slots in use. Only NextAsks uses it.
@@ -70,7 +70,8 @@
 // SetVersion sets the version of the configuration that the rates come from.
 func (rs *RateShare) SetVersion(version int64) { rs.version.Store(version) }
 
-// Wake returns a channel that receives when a key came into use.
+// Wake returns a channel that receives when MayTake found no token, so that NextAsks should
+// be called before the next interval.
 func (rs *RateShare) Wake() <-chan struct{} { return rs.wake }
 
 // rateLease holds the tokens of one grant.
@@ -200,13 +201,9 @@
 	for {
 		slot.next = rs.woken.Load()
 		if rs.woken.CompareAndSwap(slot.next, slot) {
-			break
+			return
 		}
 	}
-	select {
-	case rs.wake <- struct{}{}:
-	default:
-	}
 }
 
 // termsOf returns the terms of a slot for the rate in force.
@@ -290,8 +287,13 @@
 	if slot.takeAdvance(now, rs.termsOf(slot, rate).advances, false) {
 		return true
 	}
-	slot.lacked.Store(true)
 	rs.activate(slot)
+	if !slot.lacked.Swap(true) {
+		select {
+		case rs.wake <- struct{}{}:
+		default:
+		}
+	}
 	return false
 }
 
@@ -459,8 +461,11 @@
 	}
 	kept := rs.active[:0]
 	for _, slot := range rs.active {
-		if ask := rs.ask(now, slot); ask != nil {
-			asks = append(asks, ask)
+		// What no owner takes for so long is not reported.
+		if now.UnixNano()-slot.usedAt.Load() < int64(2*rateIdle) {
+			if ask := rs.ask(now, slot); ask != nil {
+				asks = append(asks, ask)
+			}
 		}
 		if rs.retire(now, slot) {
 			continue
