callerhttp: displace as many connections as wanted, and keep heads handed over at a stop

Cause: if the oldest connection had unread bytes, none was closed for a new one. A stop could take a connection for idle whose head was read and not yet decoded. Change: further candidates are tried; a head counts as held until the server calls its connection active.

--- a/internal/peer/callerhttp/guard.go
+++ b/internal/peer/callerhttp/guard.go
@@ -161,18 +161,6 @@
 	return gd.refused[rf].Load()
 }
 
-// Gauges returns the figures of the guard by name, with a prefix.
-func (gd *Guard) Gauges(prefix string) map[string]float64 {
-	gauges := map[string]float64{
-		prefix + "callers_leased_bytes": float64(gd.Leased()),
-		prefix + "callers_connections":  float64(gd.Connections()),
-	}
-	for _, rf := range Refusals() {
-		gauges[prefix+"callers_refused_"+rf.String()] = float64(gd.Refused(rf))
-	}
-	return gauges
-}
-
 // logInterval is the time between two log lines about refusals.
 const logInterval = 10 * time.Second
 
@@ -307,9 +295,13 @@
 		return one.since.Compare(two.since)
 	})
 	wanted := max(ls.maxConns/displaceDivisor, 1)
-	for _, ca := range candidates[:min(wanted, int64(len(candidates)))] {
+	for _, ca := range candidates {
+		if wanted <= 0 {
+			return
+		}
 		// A request may have arrived meanwhile.
 		if kind, _ := ca.conn.displaceable(now); kind == ca.kind && (kind == sendingBody || !hasUnread(ca.conn.Conn)) {
+			wanted--
 			ls.guard.refused[ConnectionDisplaced].Add(1)
 			_ = ca.conn.Close()
 		}
--- a/internal/peer/callerhttp/listener.go
+++ b/internal/peer/callerhttp/listener.go
@@ -299,6 +299,7 @@
 	switch state {
 	case http.StateActive:
 		cn.requests.Add(1)
+		cn.heldSince.Store(0)
 	case http.StateIdle:
 		now := time.Now()
 		cn.idleSince.Store(instantOf(now))
--- a/internal/peer/callerhttp/meter.go
+++ b/internal/peer/callerhttp/meter.go
@@ -35,7 +35,8 @@
 	// full; 0 if it has, or if none are leased.
 	unfinished atomic.Int64
 	// heldSince is the instant at which the first byte of the unfinished part of a request
-	// arrived; 0 if nothing is unfinished.
+	// arrived, or at which a head was handed over that the server has not decoded; 0 if
+	// there is neither.
 	heldSince atomic.Int64
 }
 
@@ -255,7 +256,8 @@
 	limits := cn.guard.limits.Load()
 	size, cost := cn.scan.size, cn.scan.cost(limits.FanOut)
 	cn.scan = headScan{}
-	cn.heldSince.Store(0)
+	// Until the server calls the connection active, a stop must not take it for idle.
+	cn.heldSince.Store(instantOf(now))
 	cn.unfinished.Store(0)
 	if size > limits.HeadBytes+headMargin {
 		return cn.refuse(HeadTooLarge, answerTooLarge)
