Name each metric of callers' limits where the operations page is checked

Cause: TestOperationsPageListsAllMetrics reads the names from the source, in which those of the guard were put together. Change: the gauges are written out in forward and serve.

--- a/internal/node/entryvm/upkeep.go
+++ b/internal/node/entryvm/upkeep.go
@@ -8,6 +8,7 @@
 
 	"daisystage.example/daisystage/internal/node/events"
 	"daisystage.example/daisystage/internal/node/metrics"
+	"daisystage.example/daisystage/internal/peer/callerhttp"
 	"daisystage.example/daisystage/internal/peer/platform"
 	"daisystage.example/daisystage/internal/world/contract"
 	"daisystage.example/daisystage/internal/world/machine"
@@ -40,7 +41,6 @@
 			continue
 		}
 		ps.Metrics.SetGauges(ps.gaugeValues(now))
-		ps.Metrics.SetGauges(ps.guard.Gauges(""))
 		ps.guard.LogRefused(now, ps.Log)
 		ps.logLeavingServers(now, leaving)
 		if vw := ps.Views.Load(); vw.Version != version {
@@ -153,6 +153,14 @@
 		"receipts_waiting":     float64(ps.Receipts.QueueLength()),
 		"receipts_dropped":     float64(ps.Receipts.Dropped.Load()),
 		"entry_vms_live":       float64(ps.countLiveEntryVMs(now)),
+
+		"callers_leased_bytes":                 float64(ps.guard.Leased()),
+		"callers_connections":                  float64(ps.guard.Connections()),
+		"callers_refused_head_too_large":       float64(ps.guard.Refused(callerhttp.HeadTooLarge)),
+		"callers_refused_no_memory":            float64(ps.guard.Refused(callerhttp.NoMemory)),
+		"callers_refused_unfinished_dropped":   float64(ps.guard.Refused(callerhttp.UnfinishedDropped)),
+		"callers_refused_connection_displaced": float64(ps.guard.Refused(callerhttp.ConnectionDisplaced)),
+		"callers_refused_connection_refused":   float64(ps.guard.Refused(callerhttp.ConnectionRefused)),
 	}
 }
 
--- a/internal/node/forwardvm/state.go
+++ b/internal/node/forwardvm/state.go
@@ -9,6 +9,7 @@
 
 	"daisystage.example/daisystage/internal/node/events"
 	"daisystage.example/daisystage/internal/peer/backend"
+	"daisystage.example/daisystage/internal/peer/callerhttp"
 	"daisystage.example/daisystage/internal/peer/platform"
 	"daisystage.example/daisystage/internal/world/contract"
 	"daisystage.example/daisystage/internal/world/machine"
@@ -133,8 +134,15 @@
 		"forward_server_back_offs":  float64(ps.backOffs.Load()),
 		"forward_unreadable":        float64(ps.unreadable.Total.Load()),
 		"forward_log_lines_dropped": float64(ps.droppedLines()),
+
+		"forward_callers_leased_bytes":                 float64(ps.guard.Leased()),
+		"forward_callers_connections":                  float64(ps.guard.Connections()),
+		"forward_callers_refused_head_too_large":       float64(ps.guard.Refused(callerhttp.HeadTooLarge)),
+		"forward_callers_refused_no_memory":            float64(ps.guard.Refused(callerhttp.NoMemory)),
+		"forward_callers_refused_unfinished_dropped":   float64(ps.guard.Refused(callerhttp.UnfinishedDropped)),
+		"forward_callers_refused_connection_displaced": float64(ps.guard.Refused(callerhttp.ConnectionDisplaced)),
+		"forward_callers_refused_connection_refused":   float64(ps.guard.Refused(callerhttp.ConnectionRefused)),
 	})
-	ps.Metrics.SetGauges(ps.guard.Gauges("forward_"))
 }
 
 func (ps *Process) droppedLines() int64 {
