--- a/internal/node/forwardvm/state.go
+++ b/internal/node/forwardvm/state.go
@@ -171,8 +171,7 @@
 		"forward_server_back_offs":  float64(ps.backOffs.Load()),
 		"forward_unreadable":        float64(ps.unreadable.Total.Load()),
 		"forward_log_lines_dropped": float64(ps.droppedLines()),
-	})
-	ps.Metrics.SetGauges(map[string]float64{
+
 		"forward_callers_leased_bytes":                 float64(ps.guard.Leased()),
 		"forward_callers_connections":                  float64(ps.guard.Connections()),
 		"forward_callers_refused_head_too_large":       float64(ps.guard.Refused(callerhttp.HeadTooLarge)),
