Draw partners and samples of heartbeats from a given random source

A failure of TestAllVMsSelectTheSame could not be run again: the partners were drawn at random, the members listed in heartbeats by the order of map iteration, and the heartbeats of a round ran in any order. The cluster now has a field for the random source, by default a random one. A sample is the members with the lowest hashes of their name and one random number, whatever the order of the map.

--- a/internal/peer/entry/cluster.go
+++ b/internal/peer/entry/cluster.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -89,6 +90,8 @@
 	PlatformDown bool
 	// Mismatches counts the successive rounds in which its digest differed.
 	Mismatches int
+	// nameHash is a hash of the name.
+	nameHash uint64
 }
 
 // members is an immutable map by name, without this process.
@@ -123,6 +126,9 @@
 	// OnDeparture is called when a peer reports that a server is leaving that was
 	// not known to leave; it may be nil.
 	OnDeparture func(now time.Time, dp machine.Departure)
+	// Random returns a random number. It selects partners and the members listed in
+	// heartbeats, and is called concurrently. Init sets it if it is nil.
+	Random func() uint64
 
 	leaving atomic.Bool
 	// everConfirmed is set with the first confirmation by the platform and never
@@ -149,6 +155,9 @@
 	cr.departures = rcu.New(departures{})
 	cr.seeds = rcu.New(cr.Seeds)
 	cr.trigger = make(chan struct{}, 1)
+	if cr.Random == nil {
+		cr.Random = rand.Uint64
+	}
 }
 
 // SetSeeds replaces the entry addresses to contact.
@@ -240,11 +249,7 @@
 // round sends heartbeats to the targets concurrently, and waits for the replies
 // for at most roundTimeout.
 func (cr *Cluster) round(ctx context.Context) {
-	now := time.Now()
-	cr.removeSilent(now)
-	cr.removeOldDepartures(now)
-	cr.Quarantine.RemoveOld(now)
-	targets := cr.targets(now)
+	targets := cr.startRound(time.Now())
 	done := make(chan struct{}, len(targets))
 	for _, address := range targets {
 		go func() {
@@ -266,6 +271,14 @@
 	cr.confirmDuringOutage(time.Now())
 }
 
+// startRound removes what is too old, and returns the targets of the round.
+func (cr *Cluster) startRound(now time.Time) []string {
+	cr.removeSilent(now)
+	cr.removeOldDepartures(now)
+	cr.Quarantine.RemoveOld(now)
+	return cr.targets(now)
+}
+
 func (cr *Cluster) exchange(ctx context.Context, address string) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
--- a/internal/peer/entry/heartbeat.go
+++ b/internal/peer/entry/heartbeat.go
@@ -1,7 +1,9 @@
 package entry
 
 import (
+	"cmp"
 	"context"
+	"hash/fnv"
 	"maps"
 	"slices"
 	"time"
@@ -56,7 +58,7 @@
 		Version:      cp.Version,
 		Digest:       cp.Digest,
 	}
-	hb.Members = sampleMembers(now, *cr.members.Load())
+	hb.Members = sampleMembers(now, *cr.members.Load(), cr.Random())
 	for _, vm := range cr.newsFor(now, zone) {
 		if !slices.ContainsFunc(hb.Members, func(mb *entrypb.Member) bool { return mb.Name == vm.Name }) {
 			hb.Members = append(hb.Members, encodeMember(now, vm))
@@ -91,29 +93,60 @@
 }
 
 // sampleMembers returns up to sampleSize live members that are not leaving and up
-// to leavingSampleSize that are. The random order of map iteration selects them.
-func sampleMembers(now time.Time, known members) []*entrypb.Member {
-	var sampled []*entrypb.Member
-	staying, leaving := 0, 0
+// to leavingSampleSize that are. The salt alone selects them, independently of the
+// order of map iteration.
+func sampleMembers(now time.Time, known members, salt uint64) []*entrypb.Member {
+	var staying, leaving []rankedMember
 	for _, mb := range known {
 		switch {
 		case !mb.IsLive(now):
 			continue
-		case mb.Leaving && leaving < leavingSampleSize:
-			leaving++
-		case !mb.Leaving && staying < sampleSize:
-			staying++
+		case mb.Leaving:
+			leaving = addLowest(leaving, mb, salt, leavingSampleSize)
 		default:
-			continue
-		}
-		sampled = append(sampled, encodeMember(now, mb.EntryVM))
-		if staying == sampleSize && leaving == leavingSampleSize {
-			break
+			staying = addLowest(staying, mb, salt, sampleSize)
 		}
 	}
+	var sampled []*entrypb.Member
+	for _, rm := range append(staying, leaving...) {
+		sampled = append(sampled, encodeMember(now, rm.vm))
+	}
 	return sampled
 }
 
+// rankedMember is a member with its random rank in one sample.
+type rankedMember struct {
+	vm   machine.EntryVM
+	rank uint64
+}
+
+// addLowest adds a member to a sample of the given size, which holds the members with
+// the lowest ranks in order.
+func addLowest(sample []rankedMember, mb Member, salt uint64, size int) []rankedMember {
+	rank := mix(mb.nameHash ^ salt)
+	at, _ := slices.BinarySearchFunc(sample, rank, func(rm rankedMember, rank uint64) int { return cmp.Compare(rm.rank, rank) })
+	if at == size {
+		return sample
+	}
+	sample = slices.Insert(sample, at, rankedMember{mb.EntryVM, rank})
+	return sample[:min(len(sample), size)]
+}
+
+// mix returns a hash of a number whose bits all depend on all of its bits: the
+// finalizer of SplitMix64.
+func mix(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// hashName returns a hash of a member's name.
+func hashName(name string) uint64 {
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(name))
+	return hash.Sum64()
+}
+
 // HandleHeartbeat merges a heartbeat from a peer and returns the reply.
 func (cr *Cluster) HandleHeartbeat(now time.Time, hb *entrypb.Heartbeat) *entrypb.Heartbeat {
 	if hb.GetSender().GetName() != "" {
@@ -189,7 +222,7 @@
 			if !vm.IsLive(now) {
 				continue
 			}
-			mb.EntryVM = vm
+			mb = Member{EntryVM: vm, nameHash: hashName(vm.Name)}
 		}
 		if vm.Name == records[0].Name && !mb.FirstHand {
 			mb.FirstHand = true
@@ -198,7 +231,7 @@
 			}
 		}
 		if mb.Incarnation != vm.Incarnation && vm.Incarnation > mb.Incarnation {
-			mb = Member{EntryVM: vm, FirstHand: mb.FirstHand}
+			mb = Member{EntryVM: vm, FirstHand: mb.FirstHand, nameHash: mb.nameHash}
 		}
 		unreachable := mb.PlatformUnreachable
 		mb.EntryVM = mb.Merge(vm)
--- a/internal/peer/entry/targets.go
+++ b/internal/peer/entry/targets.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -105,7 +104,7 @@
 	}
 	cr.partner = ""
 	if len(near) > 0 {
-		cr.partner = near[rand.IntN(len(near))]
+		cr.partner = near[cr.Random()%uint64(len(near))]
 	}
 	return cr.partner
 }
