Hold back less urgent requests while more urgent ones are not served

Change: contract.Contention holds back a share of the less urgent requests of a service, which rises with urgent ones that are missed while the servers are full and falls with those that are served; requests that pass leave the last slots free. No kind falls below a quarter of the share of all. Extra sends keep a reserve for more urgent requests. Log fields, counters and the dump show held requests, and the expected and actual work.

--- a/internal/node/forwardvm/observer.go
+++ b/internal/node/forwardvm/observer.go
@@ -44,6 +44,10 @@
 	hedges  tally.Counter
 	retries tally.Counter
 	missing tally.Counter
+	// expected and actual sum up the work, in microseconds.
+	expected tally.Counter
+	actual   tally.Counter
+	heldBack tally.Counter
 }
 
 var latencyBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 14)
@@ -98,6 +102,7 @@
 		zap.String("outcome", string(rc.Outcome)), zap.String("code", string(rc.Code)), zap.String("reason", rc.Reason),
 		zap.Int("answered", rc.Coverage.Answered), zap.Int("total", rc.Coverage.Total),
 		zap.Int("hedges", rc.Hedges), zap.Int("retries", rc.Retries), zap.String("missed", formatFailedAttempts(rc)),
+		zap.Bool("held_back", rc.HeldBack), zap.Duration("expected_work", rc.ExpectedWork), zap.Duration("actual_work", rc.ActualWork),
 		zap.Int64("left_out", rl.suppressed.Swap(0)),
 	)
 }
@@ -125,6 +130,11 @@
 	cm.hedges.Inc(int64(rc.Hedges))
 	cm.retries.Inc(int64(rc.Retries))
 	cm.missing.Inc(int64(len(rc.Coverage.Missing)))
+	cm.expected.Inc(rc.ExpectedWork.Microseconds())
+	cm.actual.Inc(rc.ActualWork.Microseconds())
+	if rc.HeldBack {
+		cm.heldBack.Inc(1)
+	}
 }
 
 // metricsFor returns the metrics with the given labels, created on first use.
@@ -139,6 +149,10 @@
 		hedges:  scope.Counter("forward_parts_hedged"),
 		retries: scope.Counter("forward_parts_retried"),
 		missing: scope.Counter("forward_parts_missing"),
+
+		expected: scope.Counter("forward_expected_work_microseconds"),
+		actual:   scope.Counter("forward_actual_work_microseconds"),
+		heldBack: scope.Counter("forward_held_back"),
 	})
 	return value.(*callMetrics)
 }
--- a/internal/node/forwardvm/state.go
+++ b/internal/node/forwardvm/state.go
@@ -10,6 +10,7 @@
 	"daisystage.example/daisystage/internal/node/events"
 	"daisystage.example/daisystage/internal/peer/backend"
 	"daisystage.example/daisystage/internal/peer/platform"
+	"daisystage.example/daisystage/internal/query/forward"
 	"daisystage.example/daisystage/internal/world/contract"
 	"daisystage.example/daisystage/internal/world/machine"
 )
@@ -40,6 +41,9 @@
 	Servers      []ServerState                `json:"servers"`
 	Quarantines  map[uint64]contract.Crashes  `json:"quarantines"`
 	Links        map[string]backend.PoolState `json:"links"`
+	// Costs are the expected server times of the routes' requests, if requests are placed by
+	// their expected work.
+	Costs map[string]forward.RouteCost `json:"costs,omitempty"`
 	// Unreadable holds the platform's entries that can't be used.
 	Unreadable []platform.UnreadableEntry `json:"unreadable"`
 }
@@ -62,6 +66,8 @@
 	// did.
 	BackOffUntil time.Time `json:"back_off_until,omitzero"`
 	PartsSent    int64     `json:"runs"`
+	// Slowness is how many times longer than usual the server takes, 1 if unknown.
+	Slowness float64 `json:"slowness"`
 }
 
 // State returns a dump of the process. It takes no lock that requests wait for.
@@ -74,6 +80,9 @@
 		Version: fl.Version, Digest: fl.Digest, EntryVMs: ps.Cluster.Members(now),
 		Quarantines: ps.Service.Quarantine.Crashes(), Links: ps.Backend.Pools(), Unreadable: ps.unreadable.Entries(),
 	}
+	if ps.Config.PlacesByWork {
+		st.Costs = ps.Service.Costs()
+	}
 	if fl.Table != nil {
 		st.TableVersion, st.Routes = fl.Table.Version, fl.Table.Routes
 	}
@@ -82,7 +91,7 @@
 			st.Servers = append(st.Servers, ServerState{
 				Server: sv, InFlight: sv.State.InFlight.Load(), ReportedLoad: sv.State.ReportedLoad.Load(), ExpectedWait: sv.ExpectedWait(now), Latency: time.Duration(sv.State.LatencyNanos.Load()),
 				FailureShare: sv.State.FailureShare(now), Suspect: sv.State.IsSuspect(now), Leaves: sv.IsLeaving(now),
-				PartsSent: sv.State.PartsSent.Load(), Departing: sv.State.Departing.Load(), BackOffUntil: backOffUntil(sv),
+				Slowness: sv.State.Work.Slowness(now), PartsSent: sv.State.PartsSent.Load(), Departing: sv.State.Departing.Load(), BackOffUntil: backOffUntil(sv),
 			})
 		}
 	}
@@ -129,6 +138,7 @@
 		"forward_load":              float64(ps.load.Load()),
 		"forward_mismatched":        float64(ps.Backend.Mismatches.Load()),
 		"forward_extra_refused":     float64(ps.Service.Budgets.DeniedCount()),
+		"forward_held_back_total":   float64(ps.Service.Budgets.HeldCount()),
 		"forward_server_departures": float64(ps.departures.Load()),
 		"forward_server_back_offs":  float64(ps.backOffs.Load()),
 		"forward_unreadable":        float64(ps.unreadable.Total.Load()),
--- a/internal/query/forward/available.go
+++ b/internal/query/forward/available.go
@@ -42,6 +42,9 @@
 // for lack of room. It tells the caller to wait for servers that asked for no requests
 // meanwhile.
 func notTaken(jb *scatter.Job[Attempt], rs *scatter.Result[Answer], minCoverage float64, reason string) *contract.Refusal {
+	if rs.HeldBack {
+		return contract.NewRefusal(contract.NotRun, contract.CodeOverloaded, "held back in favor of more urgent requests")
+	}
 	switch rs.Parts[0].Record.Cause {
 	case contract.CauseQuarantined:
 		return quarantineRefusal()
--- a/internal/query/forward/forward.go
+++ b/internal/query/forward/forward.go
@@ -99,6 +99,12 @@
 	Hedges    int
 	Retries   int
 	Parts     []contract.PartRecord
+	// HeldBack is set if the call was refused in favor of more urgent ones.
+	HeldBack bool
+	// ExpectedWork and ActualWork are the server time of the parts for which both are
+	// known; 0 if there are none.
+	ExpectedWork time.Duration
+	ActualWork   time.Duration
 }
 
 // Runner runs jobs; scatter.Engine implements it for any choice of policies.
@@ -130,8 +136,8 @@
 	Engine      Runner
 	// PlacesByWork is set if the engine's policies use the expected work.
 	PlacesByWork bool
-	Budgets     *Budgets
-	Observer    Observer
+	Budgets      *Budgets
+	Observer     Observer
 	// Memory is shared by the bodies of all calls and answers in flight.
 	Memory *quota.Pool
 	// AttemptsSent counts the attempts sent; the owner resets it.
@@ -257,7 +263,7 @@
 	jb := &scatter.Job[Attempt]{
 		Fingerprint: fingerprint,
 		Settings: scatter.JobSettings{
-			Class: contract.Urgent, Idempotent: rt.Idempotent, MaxAttempts: rt.MaxAttempts, MinCoverage: rt.MinCoverage,
+			Class: contract.Urgent, Priority: rt.Priority, Idempotent: rt.Idempotent, MaxAttempts: rt.MaxAttempts, MinCoverage: rt.MinCoverage,
 			Goal: rt.Goal, Canary: contract.CanaryOff, ReplyMargin: replyMargin, RetrySameServer: true,
 		},
 		Shards:   make([]scatter.Shard, len(services)),
@@ -271,6 +277,10 @@
 		budget := sv.Budgets.ForService(name)
 		budget.CountRequest(now)
 		jb.Shards[i] = scatter.Shard{Name: name, Replicas: rn.fleet.ServersOf(name), Budget: budget}
+		if sv.PlacesByWork {
+			jb.Shards[i].Budget = contract.PriorityBudget{ServiceBudget: budget, Priority: jb.Settings.Priority}
+			jb.Shards[i].Contention = &budget.Contention
+		}
 	}
 	attempt := Attempt{
 		AttemptLimits: scatter.AttemptLimits{Deadline: rn.partsDeadline, Idempotent: rt.Idempotent, Memory: rn.call.Memory, Trail: &rn.trail},
@@ -356,6 +366,7 @@
 func (sv *Service) recordSends(rn *run, rs scatter.Result[Answer]) {
 	sv.AttemptsSent.Add(int64(rs.Sends + rs.Hedges + rs.Retries))
 	rn.record.Sends, rn.record.Hedges, rn.record.Retries = rs.Sends, rs.Hedges, rs.Retries
+	rn.record.HeldBack, rn.record.ExpectedWork, rn.record.ActualWork = rs.HeldBack, rs.ExpectedWork, rs.ActualWork
 	rn.record.Parts = make([]contract.PartRecord, len(rs.Parts))
 	for i := range rs.Parts {
 		rn.record.Parts[i] = rs.Parts[i].Record
@@ -413,6 +424,24 @@
 	})
 }
 
+// RouteCost is the expected server time of a part of a route's requests, on a server of usual
+// speed.
+type RouteCost struct {
+	Mean      time.Duration `json:"mean_ns"`
+	Deviation time.Duration `json:"deviation_ns"`
+}
+
+// Costs returns the expected server times of all routes that were used.
+func (sv *Service) Costs() map[string]RouteCost {
+	costs := map[string]RouteCost{}
+	sv.routes.Range(func(route, value any) bool {
+		all := value.(*routeState).costs.All()
+		costs[route.(string)] = RouteCost{Mean: all.Mean(), Deviation: all.Deviation()}
+		return true
+	})
+	return costs
+}
+
 // IsReady reports whether calls can be answered: a configuration and at least
 // one server are known.
 func (sv *Service) IsReady() bool {
--- a/internal/query/scatter/engine.go
+++ b/internal/query/scatter/engine.go
@@ -34,11 +34,15 @@
 	// Replicas is not modified.
 	Replicas []*machine.Server
 	Budget   ExtraBudget
+	// Contention holds back less urgent requests; nil if priorities don't matter.
+	Contention *contract.Contention
 }
 
 // JobSettings holds the settings of the route that apply to a job.
 type JobSettings struct {
 	Class contract.Class
+	// Priority is that of the request; 0 is the highest.
+	Priority int
 	// Idempotent requests may run more than once.
 	Idempotent bool
 	// MaxAttempts limits the attempts at one shard that may have run; 0 means no
@@ -110,6 +114,11 @@
 	MayHaveRun bool
 	// Sends counts the first attempts, Hedges and Retries the additional ones.
 	Sends, Hedges, Retries int
+	// HeldBack is set if the job was refused in favor of more urgent ones.
+	HeldBack bool
+	// ExpectedWork and ActualWork are the server time of the answered parts for which both
+	// are known: those that did not wait for a slot.
+	ExpectedWork, ActualWork time.Duration
 }
 
 // Answered returns the number of parts that were answered.
@@ -147,6 +156,11 @@
 // reached.
 func (en *Engine[R, H, S, M, A]) Run(ctx context.Context, jb *Job[M]) Result[A] {
 	ga := newGather(en, jb)
-	ga.run(ctx)
+	if ga.heldBack = ga.isHeldBack(time.Now()); ga.heldBack {
+		ga.giveUpAll(contract.CauseNoRoom)
+	} else {
+		ga.run(ctx)
+	}
+	ga.finishContention(time.Now())
 	return ga.result()
 }
--- a/internal/query/scatter/gather.go
+++ b/internal/query/scatter/gather.go
@@ -18,6 +18,8 @@
 	job     *Job[M]
 	parts   []partState[A]
 	results chan attemptResult[A]
+	// startedAt is when the request arrived.
+	startedAt time.Time
 	// pending counts the parts that are neither answered nor given up, answered
 	// those that are answered.
 	pending, answered int
@@ -48,6 +50,11 @@
 	giveUpStartAt time.Time
 	// suspect is set while the request is suspected to crash servers.
 	suspect bool
+	// heldBack is set if the request was refused in favor of more urgent ones.
+	heldBack bool
+	// expectedWork and actualWork are the server time of the answered parts for which both
+	// are known.
+	expectedWork, actualWork time.Duration
 	// candidates is a scratch buffer for the choice of a replica.
 	candidates []*machine.Server
 }
@@ -80,6 +87,8 @@
 	startedAt    time.Time
 	// work is the expected server time of the part at usual speed, 0 if unknown.
 	work time.Duration
+	// keepsReserve is set if the part may not take the last free slots of a server.
+	keepsReserve bool
 	// hedgeAt is when a hedge is due.
 	hedgeAt time.Time
 	// hedgeDenied is set when the budget did not allow a hedge.
@@ -102,6 +111,8 @@
 	number int32
 	answer A
 	err    error
+	// took is the server time of an answer, 0 if unknown.
+	took time.Duration
 }
 
 func newGather[R ReplicaPolicy, H HedgePolicy, S StartPolicy, M, A any](en *Engine[R, H, S, M, A], jb *Job[M]) *gather[R, H, S, M, A] {
@@ -279,11 +290,12 @@
 	now := time.Now()
 	sv.State.Work.End(sentAt, ga.parts[index].work)
 	ga.recordOutcome(now, sv, now.Sub(sentAt), err)
+	var inSlot time.Duration
 	if ga.job.Costs != nil {
-		ga.recordWork(now, sentAt, &ga.parts[index], sv, err)
+		inSlot = ga.recordWork(now, sentAt, &ga.parts[index], sv, err)
 	}
 	ga.recordSafety(now, ga.parts[index].shard.Name, sv, generation, err)
-	ga.results <- attemptResult[A]{part: index, number: number, answer: answer, err: err}
+	ga.results <- attemptResult[A]{part: index, number: number, answer: answer, err: err, took: inSlot}
 }
 
 // recordOutcome updates the state of the server and the route's latencies after an
@@ -302,20 +314,28 @@
 	}
 }
 
-// recordWork updates the expected work of the route and of the server after an attempt.
-func (ga *gather[R, H, S, M, A]) recordWork(now, sentAt time.Time, pt *partState[A], sv *machine.Server, err error) {
+// recordWork updates the expected work of the route and of the server after an attempt. It
+// returns the server time of an answer, 0 if unknown.
+func (ga *gather[R, H, S, M, A]) recordWork(now, sentAt time.Time, pt *partState[A], sv *machine.Server, err error) time.Duration {
 	took := now.Sub(sentAt) - 2*ga.engine.Zone.Delay(sv.Zone)
 	least := sv.TimeInSlot(now, took)
+	wk := &sv.State.Work
 	if err != nil {
 		if cause, _ := causeOf(err); cause == contract.CauseCanceled || cause == contract.CauseDeadline {
-			sv.State.Work.ObserveSpeed(now, sentAt, least, math.MaxInt64, pt.work)
+			wk.ObserveSpeed(now, sentAt, least, math.MaxInt64, pt.work)
 		}
-		return
+		return 0
+	}
+	inSlot := time.Duration(0)
+	if least == took {
+		inSlot = took
 	}
-	if least == took || pt.work == 0 {
-		ga.job.Costs.Record(now, pt.shard.Name, time.Duration(float64(took)/sv.State.Work.Slowness(now)))
+	if inSlot > 0 || pt.work == 0 {
+		// As long as nothing is known, the time in a queue is better than none.
+		ga.job.Costs.Record(now, pt.shard.Name, time.Duration(float64(took)/wk.Slowness(now)))
 	}
-	sv.State.Work.ObserveSpeed(now, sentAt, least, took, pt.work)
+	wk.ObserveSpeed(now, sentAt, least, took, pt.work)
+	return inSlot
 }
 
 // recordSafety updates the quarantine after an attempt: whether the server was lost while
@@ -395,6 +415,10 @@
 	pt.Answer, pt.Answered, pt.Failed = rs.answer, true, false
 	pt.Record.NoRetryReason = ""
 	ga.answered++
+	if rs.took > 0 && pt.work > 0 {
+		ga.expectedWork += pt.work
+		ga.actualWork += rs.took
+	}
 	ga.adjustHedgeTimes(now, now.Sub(pt.startedAt))
 	pt.Record.Server = winner.server.Name
 	pt.Record.Took = now.Sub(pt.startedAt)
@@ -495,6 +519,9 @@
 		Sends:        ga.primaries,
 		Hedges:       ga.hedges,
 		Retries:      int(ga.attempts) - ga.primaries - ga.hedges,
+		HeldBack:     ga.heldBack,
+		ExpectedWork: ga.expectedWork,
+		ActualWork:   ga.actualWork,
 	}
 	for i := range ga.parts {
 		rs.Parts[i] = ga.parts[i].PartResult
--- a/internal/query/scatter/mixedload_test.go
+++ b/internal/query/scatter/mixedload_test.go
@@ -18,6 +18,8 @@
 	"daisystage.example/daisystage/internal/world/link"
 	"daisystage.example/daisystage/internal/world/machine"
 	"daisystage.example/daisystage/internal/world/zone"
+
+	"gotest.tools/v3/assert"
 )
 
 // mixedKind is one kind of request of a mixed load.
@@ -25,6 +27,8 @@
 	name string
 	// services are the services that a request is sent to.
 	services []string
+	// one is set if each request goes to one of them.
+	one bool
 	// rate is the number of requests a second of all entry VMs together.
 	rate        float64
 	mean        time.Duration
@@ -38,6 +42,7 @@
 // mixedPlan is a load of several kinds of requests on the same servers, with work that
 // differs from request to request.
 type mixedPlan struct {
+	name     string
 	entryVMs int
 	length   time.Duration
 	kinds    []mixedKind
@@ -48,6 +53,8 @@
 	// slowShare of the servers are eight to ten times slower in the second quarter, and
 	// failShare fail half of their requests at once in the last.
 	slowShare, failShare float64
+	// priorities is set if the priorities of the kinds count.
+	priorities bool
 }
 
 // mixedQueue is the number of requests that a server queues.
@@ -159,22 +166,6 @@
 	worst     float64
 }
 
-func (mo *mixedOutcome) String() string {
-	var sb strings.Builder
-	fmt.Fprintf(&sb, "imbalance %.2f, worst second %.3f", mo.imbalance, mo.worst)
-	names := make([]string, 0, len(mo.kinds))
-	for name := range mo.kinds {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	for _, name := range names {
-		ko := mo.kinds[name]
-		fmt.Fprintf(&sb, " | %s: in time %.4f late %.4f refused %.3f p50 %s p99 %s worth %.4f parts %.2f", name, ko.share(ko.inTime), ko.share(ko.late), ko.share(ko.refused),
-			ko.quantile(0.5).Round(100*time.Microsecond), ko.quantile(0.99).Round(100*time.Microsecond), ko.worth, float64(ko.sent)/float64(max(ko.requests, 1)))
-	}
-	return sb.String()
-}
-
 // mixedVM is one entry VM of a mixed load.
 type mixedVM[R ReplicaPolicy, S StartPolicy] struct {
 	engine *Engine[R, GoalHedge, S, mixedMessage, string]
@@ -239,6 +230,9 @@
 			for _, record := range records {
 				record.State = &machine.ServerState{}
 				sh := vm.shards[record.Service]
+				if sh.Contention == nil && plan.priorities {
+					sh.Contention = &contract.Contention{}
+				}
 				sh.Name, sh.Budget, sh.Replicas = record.Service, vm.budget, append(sh.Replicas, &record)
 				vm.shards[record.Service] = sh
 			}
@@ -326,15 +320,21 @@
 		},
 	}
 	works := map[string]time.Duration{}
-	for _, name := range kd.services {
+	services := kd.services
+	if kd.one {
+		at := rand.IntN(len(services))
+		services = services[at : at+1]
+	}
+	for _, name := range services {
 		jb.Shards = append(jb.Shards, vm.shards[name])
 		works[name] = work(kd)
 	}
-	if len(kd.services) > 1 {
+	if len(services) > 1 {
 		jb.PartialAfter = now.Add(kd.goal - 14*time.Millisecond)
 	}
+	jb.Settings.Priority = kd.priority
 	jb.Message = func(sh *Shard, _ int32) mixedMessage { return mixedMessage{works[sh.Name]} }
-	vm.budget.sends.Add(int64(len(kd.services)))
+	vm.budget.sends.Add(int64(len(services)))
 	rs := vm.engine.Run(t.Context(), jb)
 	return time.Since(now) + returnTime, rs
 }
@@ -343,10 +343,10 @@
 func (ko *kindOutcome) count(kd *mixedKind, took time.Duration, rs *Result[string]) float64 {
 	ko.requests++
 	ko.sent += rs.Sends + rs.Hedges + rs.Retries
-	coverage := float64(rs.Answered()) / float64(len(kd.services))
+	coverage := float64(rs.Answered()) / float64(len(rs.Parts))
 	worth := coverage * coverage
 	switch {
-	case rs.Answered() < NeededParts(kd.minCoverage, len(kd.services)):
+	case rs.Answered() < NeededParts(kd.minCoverage, len(rs.Parts)):
 		ko.failed++
 		worth = 0
 		if !rs.MayHaveRun {
@@ -389,7 +389,7 @@
 // newMixedPlan returns a load that uses a share of the servers' capacity. The two gathered
 // kinds arrive equally often.
 func newMixedPlan(entryVMs, shards int, utilization float64) mixedPlan {
-	plan := mixedPlan{entryVMs: entryVMs, length: 8 * time.Second, pauseEvery: 6 * time.Second, pauseFor: 250 * time.Millisecond, services: map[string][2]int{"single": {12, 6}}}
+	plan := mixedPlan{name: fmt.Sprintf("load %.1f", utilization), entryVMs: entryVMs, length: 8 * time.Second, pauseEvery: 6 * time.Second, pauseFor: 250 * time.Millisecond, services: map[string][2]int{"single": {12, 6}}}
 	var names []string
 	for i := range shards {
 		name := fmt.Sprintf("shard-%02d", i)
@@ -400,6 +400,7 @@
 	plan.kinds = []mixedKind{
 		{name: "deep", services: names, rate: rate, mean: 28 * time.Millisecond, spread: 0.35, goal: 300 * time.Millisecond, deadline: 3 * time.Second, minCoverage: 0.9, priority: 1},
 		{name: "quick", services: names, rate: rate, mean: 9 * time.Millisecond, spread: 0.35, goal: 80 * time.Millisecond, deadline: 1200 * time.Millisecond, minCoverage: 0.83},
+		{name: "small", services: names, one: true, rate: rate / 2, mean: 9 * time.Millisecond, spread: 0.35, goal: 60 * time.Millisecond, deadline: 1200 * time.Millisecond, minCoverage: 1},
 		{name: "single", services: []string{"single"}, rate: utilization * 72 / 0.22, mean: 220 * time.Millisecond, spread: 0.5, goal: 700 * time.Millisecond, deadline: 3 * time.Second, minCoverage: 1, priority: 2},
 	}
 	return plan
@@ -407,6 +408,7 @@
 
 // fasterKinds changes a plan to the shorter kinds.
 func (mp mixedPlan) fasterKinds() mixedPlan {
+	mp.name += ", short"
 	mp.pauseEvery, mp.pauseFor = 2400*time.Millisecond, 100*time.Millisecond
 	mp.kinds = slices.Clone(mp.kinds)
 	for i, mean := range []time.Duration{7500 * time.Microsecond, 2500 * time.Microsecond} {
@@ -419,33 +421,105 @@
 
 // withFaults changes a plan so that servers become slow and fail.
 func (mp mixedPlan) withFaults() mixedPlan {
+	mp.name += ", faults"
 	mp.slowShare, mp.failShare = 0.15, 0.1
 	return mp
 }
 
-// TestComparePolicies plays mixed loads with all policies and logs what callers get. It
-// runs on request only.
+// mixedPolicy is a choice of policies for a mixed load.
+type mixedPolicy struct {
+	name string
+	play func(*testing.T, mixedPlan, uint64) *mixedOutcome
+}
+
+var (
+	leastLatency = mixedPolicy{"least expected latency", playMixed[LeastExpectedLatency, StartWithRoom]}
+	twoChoices   = mixedPolicy{"two choices", playMixed[TwoChoices, StartWithRoom]}
+	byCompletion = mixedPolicy{"expected completion", playMixed[ExpectedCompletion, StartWithRoom]}
+	byPriority   = mixedPolicy{"same, with priorities", func(t *testing.T, plan mixedPlan, seed uint64) *mixedOutcome {
+		plan.priorities = true
+		return playMixed[ExpectedCompletion, StartWithRoom](t, plan, seed)
+	}}
+)
+
+// TestComparePolicies plays mixed loads with all policies, three seeds each, and prints the
+// mean of what callers get, for the table in MEASUREMENTS.md. It runs on request only.
 func TestComparePolicies(t *testing.T) {
 	if os.Getenv("DAISYSTAGE_MEASURE") == "" {
 		t.Skip("DAISYSTAGE_MEASURE is not set")
 	}
+	const seeds = 3
 	for _, vms := range []int{3, 9, 40} {
-		for _, faults := range []bool{false, true} {
-			for _, utilization := range []float64{0.3, 0.7, 1.5, 3} {
-				if utilization > 1 && (faults || vms != 9) {
-					continue
-				}
-				for seed := range uint64(3) {
-					plan := newMixedPlan(vms, 12, utilization)
-					if faults {
-						plan = plan.withFaults()
+		for _, plan := range []mixedPlan{
+			newMixedPlan(vms, 12, 0.3), newMixedPlan(vms, 12, 0.7), newMixedPlan(vms, 12, 1.5), newMixedPlan(vms, 12, 3),
+			newMixedPlan(vms, 12, 0.3).withFaults(), newMixedPlan(vms, 12, 0.7).withFaults(), newMixedPlan(vms, 12, 0.5).fasterKinds(),
+		} {
+			for _, po := range []mixedPolicy{leastLatency, twoChoices, byCompletion, byPriority} {
+				t.Run(fmt.Sprintf("%d/%s/%s", vms, plan.name, po.name), func(t *testing.T) {
+					t.Parallel()
+					outcomes := make([]*mixedOutcome, seeds)
+					imbalance, worst := 0.0, 0.0
+					for seed := range outcomes {
+						outcomes[seed] = po.play(t, plan, uint64(seed))
+						imbalance, worst = imbalance+outcomes[seed].imbalance/seeds, worst+outcomes[seed].worst/seeds
 					}
-					name := fmt.Sprintf("%2d VMs, load %.1f, faults %-5t, seed %d", vms, utilization, faults, seed)
-					t.Logf("%s: least     %s", name, playMixed[LeastExpectedLatency, StartWithRoom](t, plan, seed))
-					t.Logf("%s: two       %s", name, playMixed[TwoChoices, StartWithRoom](t, plan, seed))
-					t.Logf("%s: expected  %s", name, playMixed[ExpectedCompletion, StartWithRoom](t, plan, seed))
-				}
+					line := fmt.Sprintf("| %2d | %-13s | %-22s | %.2f | %.2f |", vms, plan.name, po.name, imbalance, worst)
+					for _, kd := range plan.kinds {
+						inTime, worth, p50, p99 := 0.0, 0.0, time.Duration(0), time.Duration(0)
+						for _, mo := range outcomes {
+							ko := mo.kinds[kd.name]
+							inTime, worth = inTime+ko.share(ko.inTime)/seeds, worth+ko.worth/seeds
+							p50, p99 = p50+ko.quantile(0.5)/seeds, p99+ko.quantile(0.99)/seeds
+						}
+						line += fmt.Sprintf(" %.3f, %.3f, %d/%d |", inTime, worth, p50.Milliseconds(), p99.Milliseconds())
+					}
+					fmt.Println(line)
+				})
 			}
 		}
 	}
 }
+
+// TestMixedLoad plays mixed loads. Callers need nearly all answers in time while there is
+// room. Without it, more urgent requests must not be served less often than others of the
+// same services, and each kind at least a quarter as often as all.
+func TestMixedLoad(t *testing.T) {
+	tests := []struct {
+		plan mixedPlan
+		// urgent is the least share of the most urgent kind that is answered in time, others
+		// that of the other gathered kind.
+		urgent, others float64
+	}{
+		{newMixedPlan(9, 12, 0.3), 0.98, 0.98},
+		{newMixedPlan(9, 12, 0.3).withFaults(), 0.95, 0.95},
+		{newMixedPlan(40, 12, 0.7), 0.95, 0.9},
+		// The urgent kind alone takes a third of the capacity, and three quarters.
+		{newMixedPlan(9, 12, 1.5), 0.8, 0},
+		{newMixedPlan(9, 12, 3), 0.4, 0},
+	}
+	for _, tt := range tests {
+		t.Run(fmt.Sprintf("%d/%s", tt.plan.entryVMs, tt.plan.name), func(t *testing.T) {
+			t.Parallel()
+			tt.plan.length = 4 * time.Second
+			before, mo := leastLatency.play(t, tt.plan, 1), byPriority.play(t, tt.plan, 1)
+			served := func(mo *mixedOutcome, kind string) float64 {
+				return mo.kinds[kind].share(mo.kinds[kind].inTime)
+			}
+			t.Logf("before: quick %.3f, deep %.3f, single %.3f; now: quick %.3f, deep %.3f, single %.3f", served(before, "quick"), served(before, "deep"),
+				served(before, "single"), served(mo, "quick"), served(mo, "deep"), served(mo, "single"))
+			assert.Assert(t, served(mo, "quick") >= tt.urgent)
+			assert.Assert(t, served(mo, "deep") >= tt.others)
+			assert.Assert(t, served(mo, "deep") <= served(mo, "quick")+0.05)
+			assert.Assert(t, mo.kinds["deep"].worth <= mo.kinds["quick"].worth+0.15)
+			assert.Assert(t, served(mo, "quick") >= served(before, "quick")-0.05)
+			assert.Assert(t, served(mo, "single") >= served(before, "single")-0.05)
+			all, requests := 0.0, 0.0
+			for _, kind := range []string{"quick", "deep", "small"} {
+				ko := mo.kinds[kind]
+				all, requests = all+float64(ko.inTime+ko.late), requests+float64(ko.requests)
+			}
+			deep := mo.kinds["deep"]
+			assert.Assert(t, deep.share(deep.inTime+deep.late) >= all/requests/4)
+		})
+	}
+}
--- a/internal/query/scatter/retry.go
+++ b/internal/query/scatter/retry.go
@@ -94,7 +94,7 @@
 			continue
 		}
 		sv := ga.chooseReplica(now, pt, pt.openAttempts[0].server.Zone)
-		if sv == nil || !sv.HasRoom(now) {
+		if sv == nil || !sv.HasRoom(now) || pt.keepsReserve && ga.lacksReserve(now, sv) {
 			// Full replicas can mean overload, which hedges would make worse.
 			pt.Record.NoRetryReason = contract.NoRetryReplicasFull
 			if sv == nil {
--- a/internal/query/scatter/start.go
+++ b/internal/query/scatter/start.go
@@ -175,7 +175,7 @@
 func (ga *gather[R, H, S, M, A]) chooseForStart(now time.Time, pt *partState[A], required bool) *machine.Server {
 	ga.candidates = ga.candidates[:0]
 	for _, sv := range pt.shard.Replicas {
-		if ga.mayChoose(now, sv) {
+		if ga.mayChoose(now, sv) && !(pt.keepsReserve && ga.lacksReserve(now, sv)) {
 			ga.candidates = append(ga.candidates, sv)
 		}
 	}
--- a/internal/query/scatter/workpolicy.go
+++ b/internal/query/scatter/workpolicy.go
@@ -35,7 +35,7 @@
 type TwoChoices struct{}
 
 // Choose implements ReplicaPolicy.
-func (TwoChoices) Choose(now time.Time, own zone.Zone, work time.Duration, candidates []*machine.Server, avoid string) *machine.Server {
+func (TwoChoices) Choose(now time.Time, _ zone.Zone, _ time.Duration, candidates []*machine.Server, avoid string) *machine.Server {
 	candidates = preferredReplicas(now, candidates, avoid)
 	if len(candidates) == 0 {
 		return nil
--- a/internal/world/contract/servicebudget.go
+++ b/internal/world/contract/servicebudget.go
@@ -106,8 +106,13 @@
 	extra     SlidingCount
 	// required counts the required extra sends.
 	required SlidingCount
+	// byLevel counts the extra sends of each priority but the last; nil until one has a
+	// priority.
+	byLevel atomic.Pointer[[PriorityLevels - 1]SlidingCount]
 	// Denied counts the extra sends that were denied.
 	Denied atomic.Int64
+	// Contention decides which requests for the service are held back.
+	Contention Contention
 }
 
 // NewServiceBudget returns a budget with the given share, which the owner may
@@ -142,13 +147,15 @@
 }
 
 // trySpend counts an extra send if it is allowed, and reports whether it is. For
-// sends that are not required, it keeps a reserve for required ones as large as
-// their number in the current window, at most maxReserveShare of the budget.
-func (sb *ServiceBudget) trySpend(now time.Time, required bool) bool {
+// sends that are not required, it keeps a reserve for required and for more urgent ones
+// as large as their number in the current window, at most maxReserveShare of the budget.
+// level is that of the request's priority, noLevel if priorities don't count.
+func (sb *ServiceBudget) trySpend(now time.Time, level int, required bool) bool {
 	left, allowed := sb.left(now)
 	reserve := 0.0
 	if !required {
-		reserve = min(allowed*maxReserveShare, float64(sb.required.Sum(now, sb.share.Load().Window, stepsPerWindow)))
+		wanted := sb.required.Sum(now, sb.share.Load().Window, stepsPerWindow) + sb.moreUrgent(now, level)
+		reserve = min(allowed*maxReserveShare, float64(wanted))
 	}
 	if left-reserve < 1 {
 		sb.Denied.Add(1)
@@ -157,23 +164,67 @@
 	sb.extra.Add(now, sb.share.Load().Window)
 	if required {
 		sb.required.Add(now, sb.share.Load().Window)
+	} else if level >= 0 && level < PriorityLevels-1 {
+		sb.levelCounts()[level].Add(now, sb.share.Load().Window)
 	}
 	return true
 }
 
+// noLevel is the level of a request if priorities don't count.
+const noLevel = -1
+
+// moreUrgent returns the number of extra sends of requests that are more urgent, without
+// the required ones.
+func (sb *ServiceBudget) moreUrgent(now time.Time, level int) int64 {
+	counts := sb.byLevel.Load()
+	if counts == nil {
+		return 0
+	}
+	sum := int64(0)
+	for i := range level {
+		sum += counts[i].Sum(now, sb.share.Load().Window, stepsPerWindow)
+	}
+	return sum
+}
+
+func (sb *ServiceBudget) levelCounts() *[PriorityLevels - 1]SlidingCount {
+	if sb.byLevel.Load() == nil {
+		sb.byLevel.CompareAndSwap(nil, &[PriorityLevels - 1]SlidingCount{})
+	}
+	return sb.byLevel.Load()
+}
+
 // TryHedge counts a hedge, a second attempt while the first has no answer yet,
 // and reports whether it is allowed.
 func (sb *ServiceBudget) TryHedge(now time.Time, required bool) bool {
-	return sb.trySpend(now, required)
+	return sb.trySpend(now, noLevel, required)
 }
 
 // TryRetry counts a retry after an attempt that failed with cause, and reports
 // whether it is allowed. A retry is not counted if the failed attempt did not
 // reach the server.
 func (sb *ServiceBudget) TryRetry(now time.Time, cause Cause, required bool) bool {
-	switch cause {
-	case CauseDialFailed, CauseNoLink, CauseWithheld:
-		return true
-	}
-	return sb.trySpend(now, required)
+	return isFreeRetry(cause) || sb.trySpend(now, noLevel, required)
+}
+
+// isFreeRetry reports whether the attempt that failed did not reach the server.
+func isFreeRetry(cause Cause) bool {
+	return cause == CauseDialFailed || cause == CauseNoLink || cause == CauseWithheld
+}
+
+// PriorityBudget is the budget of a service for requests of a priority. It leaves as much
+// to more urgent requests as they used in the current window.
+type PriorityBudget struct {
+	*ServiceBudget
+	Priority int
+}
+
+// TryHedge counts a hedge, and reports whether it is allowed.
+func (pb PriorityBudget) TryHedge(now time.Time, required bool) bool {
+	return pb.trySpend(now, levelOf(pb.Priority), required)
+}
+
+// TryRetry counts a retry, and reports whether it is allowed.
+func (pb PriorityBudget) TryRetry(now time.Time, cause Cause, required bool) bool {
+	return isFreeRetry(cause) || pb.trySpend(now, levelOf(pb.Priority), required)
 }
--- a/internal/world/machine/work.go
+++ b/internal/world/machine/work.go
@@ -193,3 +193,16 @@
 	others := wk.othersAt(time.Duration(now.UnixNano()-sv.State.ReportedAt.Load()), time.Duration(perPart))
 	return time.Duration((others*perPart + float64(wk.costNanos.Load())) / float64(sv.Slots))
 }
+
+// ExpectedLoad returns the expected number of requests at the server.
+func (sv *Server) ExpectedLoad(now time.Time) float64 {
+	wk := &sv.State.Work
+	residence := time.Duration(float64(wk.meanCost.Load()) * wk.Slowness(now))
+	return float64(wk.parts.Load()) + wk.othersAt(time.Duration(now.UnixNano()-sv.State.ReportedAt.Load()), residence)
+}
+
+// IsUsuallyFull reports whether one more part usually finds no free slot.
+func (sv *Server) IsUsuallyFull() bool {
+	wk := &sv.State.Work
+	return wk.others.Load()+(wk.parts.Load()+1)*othersUnit > int64(sv.Slots)*othersUnit
+}
