--- a/internal/query/scatter/gather.go
+++ b/internal/query/scatter/gather.go
@@ -317,7 +317,8 @@
 // recordWork updates the expected work of the route and of the server after an attempt. It
 // returns the server time of an answer, 0 if unknown.
 func (ga *gather[R, H, S, M, A]) recordWork(now, sentAt time.Time, pt *partState[A], sv *machine.Server, err error) time.Duration {
-	took := now.Sub(sentAt) - 2*ga.engine.Zone.Delay(sv.Zone)
+	// The delay to the zone may be assumed too long.
+	took := max(now.Sub(sentAt)-2*ga.engine.Zone.Delay(sv.Zone), time.Microsecond)
 	least := sv.TimeInSlot(now, took)
 	wk := &sv.State.Work
 	if err != nil {
--- a/internal/query/scatter/scatter_test.go
+++ b/internal/query/scatter/scatter_test.go
@@ -314,6 +314,26 @@
 	}
 }
 
+// BenchmarkChooseByWork measures the choice of a replica by its expected completion.
+func BenchmarkChooseByWork(b *testing.B) {
+	now := time.Now()
+	vw := newView(b, 30, findRoute, "s1")
+	var candidates []*machine.Server
+	for _, sv := range vw.Servers.All() {
+		sv.State.Work.Start(now, 20*time.Millisecond)
+		sv.State.Work.ObserveSpeed(now, now, 25*time.Millisecond, 25*time.Millisecond, 20*time.Millisecond)
+		if candidates = append(candidates, sv); len(candidates) == 3 {
+			break
+		}
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		if (ExpectedCompletion{}).Choose(now, zone.Zone{Name: "a"}, 20*time.Millisecond, candidates, "") == nil {
+			b.Fatal("no replica was chosen")
+		}
+	}
+}
+
 // nullSender answers immediately.
 type nullSender struct{}
 
--- a/internal/world/machine/work.go
+++ b/internal/world/machine/work.go
@@ -27,6 +27,8 @@
 	// stallFactor is the multiple of the expected time after which the parts in flight
 	// show that the server stalls: one request in 100 takes five times as long.
 	stallFactor = 3
+	// maxStall bounds the wait that is expected from a stall, also if the clock jumps.
+	maxStall = time.Second
 )
 
 // Work is the expected work of a server as one process sees it. Its methods may be called
@@ -137,7 +139,7 @@
 	if residence <= 0 || age > 8*residence {
 		return usual
 	}
-	return usual + (reported-usual)*math.Exp(-float64(age)/float64(residence))
+	return usual + (reported-usual)*math.Exp(-float64(max(age, 0))/float64(residence))
 }
 
 // QueueAhead returns how long one more part is expected to wait for a slot, and the
@@ -156,7 +158,7 @@
 		own := float64(wk.costNanos.Load()) * slowness
 		count, ahead = count+float64(parts), ahead+own
 		elapsed := max(float64(now.UnixMicro()*parts-wk.sentMicros.Load())*1e3, 0)
-		stalled = (elapsed - stallFactor*own) / float64(parts)
+		stalled = min((elapsed-stallFactor*own)/float64(parts), float64(maxStall))
 	}
 	// The load varies as that of independent requests. This approximates the mean of a
 	// normal distribution above 0.
