Compute the slowness of servers without logarithms

Cause: the choice of a replica took 1.2 us on a busy machine, two exponentials for each server. Change: the slowness is kept as the upper bits of its floating-point number, and a report loses weight linearly with its age.

--- a/internal/world/machine/work.go
+++ b/internal/world/machine/work.go
@@ -7,13 +7,15 @@
 )
 
 const (
-	// slownessUnit is 1 in the fixed-point logarithm of a server's slowness.
-	slownessUnit = 1 << 10
-	// slownessRise and slownessFall are the weights of an answer that took longer or
-	// shorter than expected, in percent. Four answers in a row show a server that became
-	// ten times slower as five times slower.
-	slownessRise = 25
-	slownessFall = 20
+	// A slowness is stored as the upper bits of its floating-point number, without those of
+	// 1: a logarithm to base 2, linear within each octave, that costs no computation.
+	// slownessUnit is one octave.
+	slownessShift = 42
+	slownessUnit  = 1 << 10
+	slownessOne   = 1023 << 10
+	// slownessWeight is the weight of an answer, in percent. Four answers in a row show a
+	// server that became ten times slower as five times slower.
+	slownessWeight = 25
 	// maxSlowness bounds the slowness and its inverse, so that no estimate takes a server
 	// out for good.
 	maxSlowness = 32
@@ -24,6 +26,9 @@
 	othersWeight = 20
 	// othersUnit is one request in the fixed-point usual load by others.
 	othersUnit = 1000
+	// reportLife is the age, in multiples of the time that one request takes, at which a
+	// report counts no more.
+	reportLife = 2
 	// stallFactor is the multiple of the expected time after which the parts in flight
 	// show that the server stalls: one request in 100 takes five times as long.
 	stallFactor = 3
@@ -40,8 +45,8 @@
 	parts     atomic.Int64
 	// sentMicros is the sum of the times at which they were sent, in Unix microseconds.
 	sentMicros atomic.Int64
-	// slowness is the logarithm of the ratio of the actual to the expected server time, in
-	// 1/slownessUnit; 0 is the usual speed.
+	// slowness is the logarithm of the ratio of the actual to the expected server time; 0 is
+	// the usual speed.
 	slowness   atomic.Int64
 	slownessAt atomic.Int64
 	// raisedAt is when the slowness last rose, in Unix nanoseconds. Parts sent before
@@ -91,11 +96,17 @@
 
 // Slowness returns how many times longer the server takes than one of usual speed.
 func (wk *Work) Slowness(now time.Time) float64 {
+	return math.Float64frombits(uint64(wk.recentSlowness(now)+slownessOne) << slownessShift)
+}
+
+// recentSlowness returns the logarithm of the slowness, which fades while the server is
+// unused.
+func (wk *Work) recentSlowness(now time.Time) int64 {
 	value := wk.slowness.Load()
 	if idle := time.Duration(now.UnixNano() - wk.slownessAt.Load()); idle > slownessHalfLife {
-		value >>= min(idle/slownessHalfLife, maxHalvings)
+		value /= 1 << min(idle/slownessHalfLife, maxHalvings)
 	}
-	return math.Exp(float64(value) / slownessUnit)
+	return value
 }
 
 // ObserveSpeed records that a part of which a cost was expected was in its slot for a time
@@ -106,7 +117,7 @@
 		return
 	}
 	have := wk.slowness.Load()
-	old := int64(math.Log(wk.Slowness(now)) * slownessUnit)
+	old := wk.recentSlowness(now)
 	sample := min(max(old, slownessOf(least, cost)), slownessOf(most, cost))
 	switch {
 	case sample == old && least < most:
@@ -116,18 +127,14 @@
 	case sample > old+slownessUnit:
 		wk.raisedAt.Store(now.UnixNano())
 	}
-	weight := int64(slownessFall)
-	if sample > old {
-		weight = slownessRise
-	}
-	wk.slowness.CompareAndSwap(have, old+(sample-old)*weight/100)
+	wk.slowness.CompareAndSwap(have, old+(sample-old)*slownessWeight/100)
 	wk.slownessAt.Store(now.UnixNano())
 }
 
 // slownessOf returns the fixed-point logarithm of the ratio of two times, within limits.
 func slownessOf(took, cost time.Duration) int64 {
-	limit := math.Log(maxSlowness)
-	return int64(min(max(math.Log(float64(max(took, 1))/float64(cost)), -limit), limit) * slownessUnit)
+	ratio := min(max(float64(took)/float64(cost), 1.0/maxSlowness), maxSlowness)
+	return int64(math.Float64bits(ratio)>>slownessShift) - slownessOne
 }
 
 // othersAt returns the expected number of requests of other processes. A report is replaced
@@ -136,10 +143,11 @@
 func (wk *Work) othersAt(age, residence time.Duration) float64 {
 	usual := float64(wk.others.Load()) / othersUnit
 	reported := float64(wk.reportedOthers.Load()) / othersUnit
-	if residence <= 0 || age > 8*residence {
+	left := 1 - float64(max(age, 0))/(reportLife*float64(residence))
+	if residence <= 0 || left <= 0 {
 		return usual
 	}
-	return usual + (reported-usual)*math.Exp(-float64(max(age, 0))/float64(residence))
+	return usual + (reported-usual)*left
 }
 
 // QueueAhead returns how long one more part is expected to wait for a slot, and the
