--- a/internal/node/forwardvm/state.go
+++ b/internal/node/forwardvm/state.go
@@ -138,7 +138,6 @@
 		"forward_load":              float64(ps.load.Load()),
 		"forward_mismatched":        float64(ps.Backend.Mismatches.Load()),
 		"forward_extra_refused":     float64(ps.Service.Budgets.DeniedCount()),
-		"forward_held_back_total":   float64(ps.Service.Budgets.HeldCount()),
 		"forward_server_departures": float64(ps.departures.Load()),
 		"forward_server_back_offs":  float64(ps.backOffs.Load()),
 		"forward_unreadable":        float64(ps.unreadable.Total.Load()),
--- a/internal/query/forward/budgets.go
+++ b/internal/query/forward/budgets.go
@@ -75,16 +75,6 @@
 	return denied
 }
 
-// HeldCount returns the number of requests that were held back in favor of more urgent ones.
-func (bg *Budgets) HeldCount() int64 {
-	held := int64(0)
-	bg.services.Range(func(_, value any) bool {
-		held += value.(*contract.ServiceBudget).Contention.Held.Load()
-		return true
-	})
-	return held
-}
-
 // asRefusal returns the *contract.Refusal in the chain of err, nil if there is
 // none.
 func asRefusal(err error) *contract.Refusal {
--- a/internal/query/scatter/priority.go
+++ b/internal/query/scatter/priority.go
@@ -15,7 +15,6 @@
 func (ga *gather[R, H, S, M, A]) isHeldBack(now time.Time) bool {
 	ga.startedAt = now
 	most := 0.0
-	var by *contract.Contention
 	for i := range ga.job.Shards {
 		cn := ga.job.Shards[i].Contention
 		if cn == nil {
@@ -23,15 +22,9 @@
 		}
 		share, keepsReserve := cn.Arrive(now, ga.job.Settings.Priority)
 		ga.parts[i].keepsReserve = keepsReserve
-		if share > most {
-			most, by = share, cn
-		}
-	}
-	if !contract.IsHeld(most) {
-		return false
+		most = max(most, share)
 	}
-	by.Held.Add(1)
-	return true
+	return contract.IsHeld(most)
 }
 
 // finishContention counts the request in the contention for its services.
--- a/internal/world/machine/work_test.go
+++ b/internal/world/machine/work_test.go
@@ -97,6 +97,7 @@
 		{"others fill it", 0, 0, 6, 6, 0, 2 * cost, 3 * cost},
 		{"others filled it, long ago", 0, 0, 0, 6, time.Second, 0, 0},
 		{"idle just now, but usually full", 0, 0, 6, 0, 0, 0, cost / 2},
+		{"idle one part ago, but usually full", 0, 0, 6, 0, cost, cost / 2, 2 * cost},
 		{"idle a while ago, but usually full", 0, 0, 6, 0, time.Second, 2 * cost, 3 * cost},
 		{"a report from the future", 0, 0, 0, 6, -time.Hour, 2 * cost, 3 * cost},
 		{"parts are overdue", 1, 10 * cost, 0, 0, 0, 5 * cost, 10 * cost},
