Tolerate one missed urgent request in ten before others are held back

Cause: at 0.7 of the capacity, where a few urgent requests miss their goal by chance, 5.5% of the others were held back (3 VMs). Change: requests are held back from one in 10 missed on, instead of one in 16.

--- a/internal/world/contract/contention.go
+++ b/internal/world/contract/contention.go
@@ -17,7 +17,7 @@
 	servedWeight = 32
 	// toleratedMisses is the smoothed share of more urgent requests that may be missed
 	// before others are held back for them, as a divisor: a few miss their goal by chance.
-	toleratedMisses = 16
+	toleratedMisses = 10
 	// contentionWindow is the time for which a more urgent request holds back less urgent
 	// ones.
 	contentionWindow = 5 * time.Second
