Hold back wide requests only by the services that they can't do without

Cause: a wide request was held back by the largest share among its services, so that one paused server of one of them counted for all. Change: the share of the services without which too few are left decides.

--- a/internal/query/scatter/priority.go
+++ b/internal/query/scatter/priority.go
@@ -1,6 +1,7 @@
 package scatter
 
 import (
+	"slices"
 	"time"
 
 	"daisystage.example/daisystage/internal/world/contract"
@@ -11,20 +12,25 @@
 const reserveDivisor = 4
 
 // isHeldBack counts the request as arrived, and reports whether it is refused in favor of
-// more urgent ones.
+// more urgent ones: by the share that is held back at the services that it can't do without.
 func (ga *gather[R, H, S, M, A]) isHeldBack(now time.Time) bool {
 	ga.startedAt = now
-	most := 0.0
+	var shares []float64
 	for i := range ga.job.Shards {
 		cn := ga.job.Shards[i].Contention
 		if cn == nil {
-			continue
+			return false
 		}
 		share, keepsReserve := cn.Arrive(now, ga.job.Settings.Priority)
 		ga.parts[i].keepsReserve = keepsReserve
-		most = max(most, share)
+		if share > 0 || shares != nil {
+			shares = append(shares, share)
+		}
 	}
-	return contract.IsHeld(most)
+	// Services at which nothing is held back are left out at the front.
+	slices.Sort(shares)
+	at := ga.needed - 1 - (len(ga.parts) - len(shares))
+	return at >= 0 && contract.IsHeld(shares[at])
 }
 
 // finishContention counts the request in the contention for its services.
