Admit customers with limits while entry VMs discover each other

Change: a VM that discovers its peers has a bucket of one token a customer, full at its start, that fills at a 24th of the rate.

--- a/internal/peer/entry/lease.go
+++ b/internal/peer/entry/lease.go
@@ -125,7 +125,7 @@
 	}
 	switch {
 	case !next.Ready:
-		next.Holders = nil
+		next.Holders, next.StartedAt = nil, ls.StartedAt
 	case !slices.Contains(next.Holders, next.Self):
 		ls.holderSince = now
 	default:
--- a/internal/world/contract/rateplace.go
+++ b/internal/world/contract/rateplace.go
@@ -23,6 +23,8 @@
 	Part float64 `json:"part"`
 	// Ready is unset while this process discovers its peers, Leaving set while it stops.
 	Ready   bool `json:"ready"`
+	// StartedAt is when the process started; used while it is not ready.
+	StartedAt time.Time `json:"started_at"`
 	Leaving bool `json:"leaving"`
 }
 
@@ -65,6 +67,9 @@
 // advancesOf returns this VM's bucket of advances for a key. If the advances do not
 // suffice for all holders, those that rank first for the key share them.
 func (rp *RatePlace) advancesOf(key RateKey, rate SharedRate, bounds QuotaBounds) advanceBucket {
+	if !rp.Ready {
+		return rp.startAdvances(rate, bounds)
+	}
 	total := bounds.advances(rate)
 	count := min(len(rp.Holders), int(total/minAdvances))
 	if count == 0 || !slices.Contains(rp.Holders, rp.Self) {
@@ -83,8 +88,25 @@
 	return advanceBucket{size: size, period: time.Duration(float64(bounds.Window) / (share - size)), emptyAt: rp.HolderSince}
 }
 
+// startHolders is the number of VMs among which the rate is divided until they know each
+// other: somewhat more than usually serve callers.
+const startHolders = 24
+
+// startAdvances returns this VM's bucket while it discovers its peers. Without it, customers
+// with limits would get nothing for seconds after the restart of all VMs. No owner grants
+// anything in that time.
+func (rp *RatePlace) startAdvances(rate SharedRate, bounds QuotaBounds) advanceBucket {
+	perSecond := bounds.grantRate(rate) / startHolders
+	if perSecond <= 0 || rp.StartedAt.IsZero() {
+		return advanceBucket{}
+	}
+	period := time.Duration(float64(time.Second) / perSecond)
+	// The bucket of one token is full at the start.
+	return advanceBucket{size: 1, period: period, emptyAt: rp.StartedAt.Add(-period)}
+}
+
 // Equal reports whether two places are the same.
 func (rp *RatePlace) Equal(other *RatePlace) bool {
 	return rp.Self == other.Self && slices.Equal(rp.Owners, other.Owners) && slices.Equal(rp.Holders, other.Holders) &&
-		rp.HolderSince.Equal(other.HolderSince) && rp.Part == other.Part && rp.Ready == other.Ready && rp.Leaving == other.Leaving
+		rp.HolderSince.Equal(other.HolderSince) && rp.Part == other.Part && rp.Ready == other.Ready && rp.StartedAt.Equal(other.StartedAt) && rp.Leaving == other.Leaving
 }
--- a/internal/world/contract/rateworld_test.go
+++ b/internal/world/contract/rateworld_test.go
@@ -174,7 +174,7 @@
 	}
 	switch {
 	case !place.Ready:
-		place.Holders = nil
+		place.Holders, place.StartedAt = nil, vm.startedAt
 	case !slices.Contains(place.Holders, vm.name):
 		vm.holderSince = rw.now
 	}
--- a/internal/world/contract/sharedrate.go
+++ b/internal/world/contract/sharedrate.go
@@ -89,8 +89,8 @@
 	// leases which advances use, and which owners grant beside the rate: a customer near its
 	// limit is rather served within the tolerance than refused below the limit. The rest is
 	// for requests that wait between their admission and their first send.
-	usableAdvances = 0.3
-	usableRate     = 0.4
+	usableAdvances = 0.5
+	usableRate     = 0.2
 	// minAdvances is the least number of tokens in a window for which a VM spends
 	// advances: fewer VMs spend them if there is less for each. One token can be spent
 	// at once, and half a token returns in a window.
