Spend no tolerance of cold servers' limits twice

Their rate leaves room for leases and for half of the slack. The tolerance that owners, advances and starting VMs use for customers would come on top: at 24 requests a second and more, or after the restart of all VMs, a cold server could get more than its bounds allow. Found by reading; no run showed it.

--- a/internal/world/contract/rateplace.go
+++ b/internal/world/contract/rateplace.go
@@ -22,10 +22,10 @@
 	// Part is the part of each rate that this VM may grant, from 0 to 1.
 	Part float64 `json:"part"`
 	// Ready is unset while this process discovers its peers, Leaving set while it stops.
-	Ready   bool `json:"ready"`
+	Ready bool `json:"ready"`
 	// StartedAt is when the process started; used while it is not ready.
 	StartedAt time.Time `json:"started_at"`
-	Leaving bool `json:"leaving"`
+	Leaving   bool      `json:"leaving"`
 }
 
 // mixRate returns a hash of a VM and a key, by which VMs are ranked for the key.
@@ -97,7 +97,7 @@
 // anything in that time.
 func (rp *RatePlace) startAdvances(rate SharedRate, bounds QuotaBounds) advanceBucket {
 	perSecond := bounds.grantRate(rate) / startHolders
-	if perSecond <= 0 || rp.StartedAt.IsZero() {
+	if perSecond <= 0 || rp.StartedAt.IsZero() || bounds.isSpent {
 		return advanceBucket{}
 	}
 	period := time.Duration(float64(time.Second) / perSecond)
--- a/internal/world/contract/sharedrate.go
+++ b/internal/world/contract/sharedrate.go
@@ -39,6 +39,8 @@
 	Window  time.Duration `json:"window_ns"`
 	Overage float64       `json:"overage"`
 	Slack   float64       `json:"slack"`
+	// isSpent is set if the rates leave no tolerance.
+	isSpent bool
 }
 
 // TokenTTL is how long after it was taken a token may be used for a send.
@@ -122,6 +124,9 @@
 // tolerance returns the number of requests in a window beyond those of leases and the
 // burst.
 func (qb QuotaBounds) tolerance(rate SharedRate) float64 {
+	if qb.isSpent {
+		return 0
+	}
 	leased := qb.leaseRate(rate)*(qb.Window+RateLease).Seconds() + max(rate.Burst, 1)
 	return max(0, qb.Allowed(rate)-leased)
 }
@@ -139,7 +144,7 @@
 
 // coldBounds is the tolerance with which the rates of cold servers hold. Their own
 // tolerance is spent already: WarmUpBounds.SharedRate leaves room for the tokens of a lease.
-var coldBounds = QuotaBounds{Window: time.Second, Overage: RateLease.Seconds()}
+var coldBounds = QuotaBounds{Window: time.Second, Overage: RateLease.Seconds(), isSpent: true}
 
 // of returns the tolerance of a kind.
 func (rb RateBounds) of(kind RateKind) QuotaBounds {
