--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -4,4 +4,4 @@
 folder=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$folder/../.." || exit 2
 [ -x target/review/standin2 ] || exit 2
-exec target/review/standin2 two-bursts "$folder"
+exec target/review/standin2 lost-seeds "$folder"
--- a/review/standin2/env.go
+++ b/review/standin2/env.go
@@ -33,6 +33,9 @@
 // zoneNames are the zones of the site, one entry VM in each.
 var zoneNames = []string{"riga-a", "riga-b", "riga-c"}
 
+// maxVMs is the most entry VMs that a site has.
+const maxVMs = 6
+
 // program is the program that the deploy file starts, and programArgs its arguments.
 const (
 	program     = "target/daisystage"
@@ -55,6 +58,8 @@
 	calls    calls
 	ids      atomic.Int64
 	version  int
+	// addVM adds an entry VM in a zone. The first ones, one in each zone, are the seeds.
+	addVM func(zone string)
 }
 
 // vm is one entry VM and its process.
@@ -88,13 +93,16 @@
 	if err != nil {
 		return nil, err
 	}
-	for i, zone := range zoneNames {
-		ev.vms = append(ev.vms, ev.newVM(zone, fmt.Sprintf("127.77.%d.%d", subnet, i+1), ports, ls.Addr().String()))
-	}
-	for _, each := range ev.vms {
-		for _, other := range ev.vms {
-			each.settings["seeds"] = append(each.settings["seeds"].([]any), net.JoinHostPort(other.ip, strconv.Itoa(ports[2])))
+	ev.addVM = func(zone string) {
+		number := len(ev.vms)
+		each := ev.newVM(fmt.Sprintf("frontend-%s-%d", zone, number/len(zoneNames)+1), zone, fmt.Sprintf("127.77.%d.%d", subnet, number+1), ports, ls.Addr().String())
+		for i := range zoneNames {
+			each.settings["seeds"] = append(each.settings["seeds"].([]any), net.JoinHostPort(fmt.Sprintf("127.77.%d.%d", subnet, i+1), strconv.Itoa(ports[2])))
 		}
+		ev.vms = append(ev.vms, each)
+	}
+	for _, zone := range zoneNames {
+		ev.addVM(zone)
 	}
 	return ev, nil
 }
@@ -103,7 +111,7 @@
 // metrics, which is fixed, must be free too.
 func freePorts(subnet, count int) ([]int, error) {
 	isFree := func(port int) bool {
-		for i := range zoneNames {
+		for i := range maxVMs {
 			ls, err := net.Listen("tcp", fmt.Sprintf("127.77.%d.%d:%d", subnet, i+1, port))
 			if err != nil {
 				return false
@@ -127,9 +135,9 @@
 	return ports, nil
 }
 
-func (ev *env) newVM(zone, ip string, ports []int, storeAddress string) *vm {
+func (ev *env) newVM(name, zone, ip string, ports []int, storeAddress string) *vm {
 	at := func(i int) string { return net.JoinHostPort(ip, strconv.Itoa(ports[i])) }
-	each := &vm{ev: ev, name: "frontend-" + zone + "-1", zone: zone, ip: ip, callers: at(0), readiness: at(1)}
+	each := &vm{ev: ev, name: name, zone: zone, ip: ip, callers: at(0), readiness: at(1)}
 	each.settingsPath = filepath.Join(ev.folder, each.name+".json")
 	if err := json.Unmarshal(settingsText, &each.settings); err != nil {
 		panic(err)
