Review: a run of a script reserves its loopback subnet

Two runs that began at the same moment could take the same subnet; an entry VM then found its metrics port in use and the script exited with 2 (reproduced with the subnet fixed). A VM that does not get ready is told with the end of its log.

--- a/review/standin2/env.go
+++ b/review/standin2/env.go
@@ -14,6 +14,7 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -88,8 +89,7 @@
 		return nil, fmt.Errorf("listen for store: %w", err)
 	}
 	go ev.store.serve(ls)
-	subnet := 1 + rand.IntN(250)
-	ports, err := freePorts(subnet, 5)
+	subnet, ports, err := reserveSubnet()
 	if err != nil {
 		return nil, err
 	}
@@ -107,6 +107,38 @@
 	return ev, nil
 }
 
+// reservedHost is the host of a subnet on which a run listens for as long as it lasts, so
+// that runs beside each other take different subnets.
+const reservedHost = 250
+
+// reserved holds the listeners by which subnets are reserved.
+var reserved []net.Listener
+
+// subnetTries bounds the search for a free subnet.
+const subnetTries = 50
+
+// reserveSubnet returns a subnet that no other run uses, and ports that are free there. The
+// subnet is reserved until the process ends.
+func reserveSubnet() (int, []int, error) {
+	var failed error
+	for range subnetTries {
+		subnet := 1 + rand.IntN(250)
+		ls, err := net.Listen("tcp", fmt.Sprintf("127.77.%d.%d:%s", subnet, reservedHost, names["metrics_port"]))
+		if err != nil {
+			failed = err
+			continue
+		}
+		// A listener that is not referenced may be closed at any time.
+		reserved = append(reserved, ls)
+		ports, err := freePorts(subnet, 5)
+		if err == nil {
+			return subnet, ports, nil
+		}
+		failed = err
+	}
+	return 0, nil, fmt.Errorf("find a free subnet: %w", failed)
+}
+
 // freePorts returns ports that are free on the addresses of all entry VMs. The port of the
 // metrics, which is fixed, must be free too.
 func freePorts(subnet, count int) ([]int, error) {
@@ -268,7 +300,19 @@
 			return nil
 		}
 	}
-	return fmt.Errorf("%s did not get ready", vm.name)
+	return fmt.Errorf("%s did not get ready; the end of its log: %s", vm.name, vm.logEnd())
+}
+
+// maxLogEnd bounds what is quoted of a log, in bytes.
+const maxLogEnd = 300
+
+// logEnd returns the last bytes of the log of the process.
+func (vm *vm) logEnd() string {
+	text, err := os.ReadFile(filepath.Join(vm.ev.folder, vm.name+".log"))
+	if err != nil {
+		return err.Error()
+	}
+	return strings.TrimSpace(string(text[max(len(text)-maxLogEnd, 0):]))
 }
 
 // dump returns the operator's dump of the process.
