--- a/review/standin3/env.go
+++ b/review/standin3/env.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -115,9 +116,10 @@
 
 // vm is one process of the system, as the deploy file starts it.
 type vm struct {
-	node, ip string
-	command  *exec.Cmd
-	ended    chan struct{}
+	node, ip, settings string
+	startedAt          time.Time
+	command            *exec.Cmd
+	ended              chan struct{}
 }
 
 // startVMs starts one process in each of the given zones with the settings of a
@@ -126,7 +128,7 @@
 	dp := nm.Deployments[name]
 	var seeds []string
 	for i, zone := range zones {
-		each := &vm{node: fmt.Sprintf("frontend-%s-%d", zone, i+1), ip: en.host(), ended: make(chan struct{})}
+		each := &vm{node: fmt.Sprintf("frontend-%s-%d", zone, i+1), ip: en.host()}
 		en.vms = append(en.vms, each)
 		seeds = append(seeds, strconv.Quote(each.ip+":8224"))
 	}
@@ -135,14 +137,19 @@
 			"{{NODE}}", each.node, "{{IP}}", each.ip, "{{ZONE}}", zones[i], "{{SEEDS}}", strings.Join(seeds[:min(len(seeds), 3)], ", "),
 			"{{CONTRACTS}}", string(dp.Contracts), "{{BOUNDS}}", string(dp.Bounds), "{{STORE}}", en.store.address,
 		).Replace(settingsText)
-		path := filepath.Join(en.folder, each.node+".json")
-		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		each.settings = filepath.Join(en.folder, each.node+".json")
+		if err := os.WriteFile(each.settings, []byte(text), 0o600); err != nil {
 			return fmt.Errorf("write settings: %w", err)
 		}
-		if err := en.startVM(each, path); err != nil {
+		if err := en.startVM(each); err != nil {
 			return err
 		}
 	}
+	return en.awaitReady()
+}
+
+// awaitReady waits until all processes are ready.
+func (en *env) awaitReady() error {
 	for end := time.Now().Add(20 * time.Second); ; time.Sleep(100 * time.Millisecond) {
 		ready := 0
 		for _, each := range en.vms {
@@ -159,11 +166,12 @@
 	}
 }
 
-func (en *env) startVM(each *vm, settings string) error {
+func (en *env) startVM(each *vm) error {
+	each.startedAt, each.ended = time.Now(), make(chan struct{})
 	// The deploy file's command.
 	each.command = exec.Command("target/daisystage", "forward")
-	each.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), nm.BootVariable + "=" + settings}
-	log, err := os.Create(filepath.Join(en.folder, each.node+".log"))
+	each.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), nm.BootVariable + "=" + each.settings}
+	log, err := os.OpenFile(filepath.Join(en.folder, each.node+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return fmt.Errorf("make log: %w", err)
 	}
@@ -172,10 +180,36 @@
 		return fmt.Errorf("start %s: %w", each.node, err)
 	}
 	en.cleanups = append(en.cleanups, func() { each.kill(); _ = log.Close(); keepLog(log.Name()) })
-	go func() {
-		_ = each.command.Wait()
-		close(each.ended)
-	}()
+	go func(command *exec.Cmd, ended chan struct{}) {
+		_ = command.Wait()
+		close(ended)
+	}(each.command, each.ended)
+	return nil
+}
+
+// killAll ends all processes at once, and starts them again after a pause.
+func (en *env) killAll(pause time.Duration) error {
+	for _, each := range en.vms {
+		_ = each.command.Process.Kill()
+	}
+	for _, each := range en.vms {
+		<-each.ended
+	}
+	time.Sleep(pause)
+	for _, each := range en.vms {
+		text, err := os.ReadFile(each.settings)
+		if err != nil {
+			return fmt.Errorf("read settings: %w", err)
+		}
+		// Only the first start of the whole system is one.
+		text = bytes.Replace(text, []byte(`"bootstrap": true`), []byte(`"bootstrap": false`), 1)
+		if err := os.WriteFile(each.settings, text, 0o600); err != nil {
+			return fmt.Errorf("write settings: %w", err)
+		}
+		if err := en.startVM(each); err != nil {
+			return err
+		}
+	}
 	return nil
 }
 
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -20,7 +20,8 @@
 
 // cases are the cases by name. Each reports whether the rule was broken.
 var cases = map[string]func(en *env) (broken bool, err error){
-	"restored-store": restoredStore,
+	"restored-store":  restoredStore,
+	"forgotten-crash": forgottenCrash,
 }
 
 func main() { os.Exit(play()) }
--- a/review/standin3/server.go
+++ b/review/standin3/server.go
@@ -19,6 +19,12 @@
 	work time.Duration
 	st   *store
 	rec  *recorder
+	// crashOn is the path of requests that crash the server; empty if none does. onCrash is
+	// called after the crash.
+	crashOn string
+	onCrash func()
+	// end closes the listener and all connections.
+	end func()
 	// running counts the requests that run.
 	running  atomic.Int64
 	draining atomic.Bool
@@ -52,8 +58,8 @@
 	hs := &http.Server{Handler: sv}
 	go func() { _ = hs.Serve(ls) }()
 	stop := make(chan struct{})
-	sv.register()
 	go func() {
+		sv.register()
 		ticker := time.NewTicker(heartbeat)
 		defer ticker.Stop()
 		for {
@@ -65,7 +71,8 @@
 			}
 		}
 	}()
-	return sv, sync.OnceFunc(func() { close(stop); _ = hs.Close() }), nil
+	sv.end = sync.OnceFunc(func() { close(stop); _ = hs.Close() })
+	return sv, sv.end, nil
 }
 
 // register writes the server's entry. Its sequence number is left as it is: the entry does
@@ -108,6 +115,12 @@
 	sv.runs = append(sv.runs, rn)
 	sv.lock.Unlock()
 	sv.rec.add("run by %s (%s): %s %s, tenant %q, %d bytes", sv.id, sv.service, id, rn.path, rn.tenant, len(body))
+	if sv.crashOn != "" && rn.path == sv.crashOn {
+		sv.rec.say("%s crashes as it begins to run %s", sv.id, id)
+		sv.end()
+		sv.onCrash()
+		panic(http.ErrAbortHandler)
+	}
 	time.Sleep(sv.work)
 	w.Header().Set(nm.Headers.Seal, sv.id+"."+id)
 	_, _ = io.WriteString(w, strings.Repeat("record of 16 byt", 4))
