--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -22,6 +22,7 @@
 var cases = map[string]func(en *env) (broken bool, err error){
 	"restored-store":  restoredStore,
 	"forgotten-crash": forgottenCrash,
+	"changed-path":    changedPath,
 }
 
 func main() { os.Exit(play()) }
