--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -23,6 +23,7 @@
 	"restored-store":  restoredStore,
 	"forgotten-crash": forgottenCrash,
 	"changed-path":    changedPath,
+	"last-unlisted":   lastUnlisted,
 }
 
 func main() { os.Exit(play()) }
