--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -24,6 +24,7 @@
 	"forgotten-crash": forgottenCrash,
 	"changed-path":    changedPath,
 	"last-unlisted":   lastUnlisted,
+	"slow-uploads":    slowUploads,
 }
 
 func main() { os.Exit(play()) }
