--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -1,3 +1,3 @@
 #!/usr/bin/env bash
 cd "$(dirname "$0")/../.." || exit 2
-exec target/standin3 last-unlisted review/12/record.txt
+exec target/standin3 left-owners review/12/record.txt
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -24,7 +24,7 @@
 	"forgotten-crash": forgottenCrash,
 	"changed-path":    changedPath,
 	"last-unlisted":   lastUnlisted,
-	"slow-uploads":    slowUploads,
+	"left-owners":     leftOwners,
 }
 
 func main() { os.Exit(play()) }
