--- a/review/standin3/case_changed_path.go
+++ b/review/standin3/case_changed_path.go
@@ -30,7 +30,7 @@
 		servers = append(servers, sv)
 	}
 	route := newRoute("r-all", pathHost, "/", "krajums", 4000)
-	route.Type = nm.Words.NonIdempotent
+	route.Type = nm.Words.Once
 	en.store.put(nm.Store.Config, nm.Store.Main, wire.Configuration{
 		Version: 7, Routes: []wire.Route{route}, Services: []wire.Service{newService("krajums", 110)},
 		Limits: wire.CallerLimits{MaxHeaderBytes: 16384, MaxBodyBytes: 1 << 20, HeaderTimeoutMs: 5000, IdleTimeoutMs: 30000},
--- a/review/standin3/env.go
+++ b/review/standin3/env.go
@@ -202,7 +202,7 @@
 			return fmt.Errorf("read settings: %w", err)
 		}
 		// Only the first start of the whole system is one.
-		text = bytes.Replace(text, []byte(`"bootstrap": true`), []byte(`"bootstrap": false`), 1)
+		text = bytes.Replace(text, []byte(nm.FirstStart), []byte(nm.LaterStart), 1)
 		if err := os.WriteFile(each.settings, text, 0o600); err != nil {
 			return fmt.Errorf("write settings: %w", err)
 		}
--- a/review/standin3/names.go
+++ b/review/standin3/names.go
@@ -42,11 +42,25 @@
 		Main     string `json:"main"`
 		Servers  string `json:"servers"`
 	} `json:"store"`
-	Words struct {
-		Ready         string `json:"ready"`
-		Draining      string `json:"draining"`
-		Idempotent    string `json:"idempotent"`
-		NonIdempotent string `json:"non_idempotent"`
+	// Object holds the names of the fields of a stored object.
+	Object struct {
+		Meta       string `json:"meta"`
+		Spec       string `json:"spec"`
+		Status     string `json:"status"`
+		Name       string `json:"name"`
+		Revision   string `json:"revision"`
+		Created    string `json:"created"`
+		Finalizers string `json:"finalizers"`
+		Deleting   string `json:"deleting"`
+	} `json:"object"`
+	// FirstStart and LaterStart are the texts in the settings of a process.
+	FirstStart string `json:"first_start"`
+	LaterStart string `json:"later_start"`
+	Words      struct {
+		Ready      string `json:"ready"`
+		Draining   string `json:"draining"`
+		Idempotent string `json:"idempotent"`
+		Once       string `json:"once"`
 	} `json:"words"`
 	// Deployments are the parts of the settings that differ between cases.
 	Deployments map[string]deployment `json:"deployments"`
--- a/review/standin3/store.go
+++ b/review/standin3/store.go
@@ -12,6 +12,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"daisystage.example/daisystage/platform/wire"
 )
 
 const (
@@ -20,19 +22,19 @@
 	pageItems  = 500
 )
 
+// storedObject is an object of the store. Nobody finalizes or marks one here, and the status
+// is never written.
 type storedObject struct {
-	Meta storedMeta      `json:"meta"`
-	Spec json.RawMessage `json:"spec"`
-	// Status is always null here: nobody writes one.
-	Status json.RawMessage `json:"status"`
+	name              string
+	revision, created int
+	spec              json.RawMessage
 }
 
-type storedMeta struct {
-	Name       string   `json:"name"`
-	Revision   int      `json:"revision"`
-	Created    int      `json:"created"`
-	Finalizers []string `json:"finalizers"`
-	Deleting   bool     `json:"deleting"`
+// MarshalJSON implements json.Marshaler.
+func (ob storedObject) MarshalJSON() ([]byte, error) {
+	on := nm.Object
+	meta := map[string]any{on.Name: ob.name, on.Revision: ob.revision, on.Created: ob.created, on.Finalizers: []string{}, on.Deleting: false}
+	return json.Marshal(map[string]any{on.Meta: meta, on.Spec: ob.spec, on.Status: nil})
 }
 
 type storeEvent struct {
@@ -86,7 +88,7 @@
 	if of == nil {
 		of = map[string]storedObject{}
 	}
-	object.Meta.Revision = next.revision
+	object.revision = next.revision
 	if removed {
 		delete(of, name)
 	} else {
@@ -116,12 +118,12 @@
 		return 0, false
 	}
 	have, ok := st.current().objects[kind][name]
-	if ok && string(have.Spec) == string(text) {
-		return have.Meta.Revision, true
+	if ok && string(have.spec) == string(text) {
+		return have.revision, true
 	}
-	ob := storedObject{Meta: storedMeta{Name: name, Created: have.Meta.Created, Finalizers: []string{}}, Spec: text, Status: json.RawMessage("null")}
+	ob := storedObject{name: name, created: have.created, spec: text}
 	if !ok {
-		ob.Meta.Created = st.current().revision + 1
+		ob.created = st.current().revision + 1
 	}
 	st.push(kind, name, ob, false)
 	return st.current().revision, true
@@ -216,7 +218,7 @@
 
 // write makes a call of the system that changes an object. The caller holds the lock.
 func (st *store) write(w http.ResponseWriter, method, kind, name string, body []byte) {
-	var sent storedObject
+	var sent wire.Object
 	if err := json.Unmarshal(body, &sent); err != nil && method != http.MethodDelete {
 		w.WriteHeader(http.StatusBadRequest)
 		return
@@ -229,17 +231,17 @@
 	case method != http.MethodPost && !exists:
 		w.WriteHeader(http.StatusNotFound)
 		return
-	case method == http.MethodPost && exists, exists && sent.Meta.Revision != 0 && sent.Meta.Revision != have.Meta.Revision:
+	case method == http.MethodPost && exists, exists && sent.Meta.Revision != 0 && sent.Meta.Revision != have.revision:
 		w.WriteHeader(http.StatusConflict)
 		encode(w, have)
 		return
 	}
-	created := have.Meta.Created
+	created := have.created
 	if !exists {
 		created = st.current().revision + 1
 	}
-	if method == http.MethodDelete || string(have.Spec) != string(sent.Spec) {
-		ob := storedObject{Meta: storedMeta{Name: name, Created: created, Finalizers: []string{}}, Spec: sent.Spec, Status: json.RawMessage("null")}
+	if method == http.MethodDelete || string(have.spec) != string(sent.Spec) {
+		ob := storedObject{name: name, created: created, spec: sent.Spec}
 		st.push(kind, name, ob, method == http.MethodDelete)
 	}
 	encode(w, st.current().objects[kind][name])
