--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -22,7 +22,6 @@
 var cases = map[string]func(en *env) (broken bool, err error){
 	"restored-store":  restoredStore,
 	"forgotten-crash": forgottenCrash,
-	"changed-path":    changedPath,
 	"last-unlisted":   lastUnlisted,
 	"left-owners":     leftOwners,
 }
--- a/review/standin3/server.go
+++ b/review/standin3/server.go
@@ -38,9 +38,7 @@
 	at      time.Time
 	attempt string
 	path    string
-	// target is the path with the query as the server got it.
-	target string
-	tenant string
+	tenant  string
 	// hasKey is set if the server got a key.
 	hasKey bool
 }
@@ -110,7 +108,7 @@
 	sv.running.Add(1)
 	defer sv.running.Add(-1)
 	rn := run{
-		at: time.Now(), attempt: id, path: rq.URL.Path, target: rq.RequestURI, tenant: rq.Header.Get(nm.Headers.Tenant),
+		at: time.Now(), attempt: id, path: rq.URL.Path, tenant: rq.Header.Get(nm.Headers.Tenant),
 		hasKey: rq.Header.Get(nm.Headers.Authorization) != "",
 	}
 	sv.lock.Lock()
