Order the platform's state by the store's era before its revision

Cause: objects, copies, digests, watches and confirmations were ordered by the store's revision alone, and a restore gives revisions out again.

Evidence: version 15 got the revision that version 12 had before the restore, so it counted as known; the store's answer at that revision confirmed the old configuration.

Change: a version is era and revision in one number, era first. An answer of a newer era, of any status, ends older watches and makes each watcher list each prefix once; answers of older eras are dropped. A list in a new era leaves a mark that replaces all objects of earlier eras on each VM.

Without the mark, the check of eras or the kept configuration the generated orders or the table tests fail.

The roster in the store is not yet protected against a restore.

--- a/internal/node/events/events.go
+++ b/internal/node/events/events.go
@@ -42,6 +42,7 @@
 	ClaimsSwept         = Event{207, "claims_swept", zapcore.InfoLevel}
 	ZoneEvacuated       = Event{208, "zone_evacuated", zapcore.WarnLevel}
 	ZoneTakenBack       = Event{209, "zone_taken_back", zapcore.InfoLevel}
+	StoreRestored       = Event{210, "store_restored", zapcore.WarnLevel}
 
 	PeerFailed          = Event{301, "peer_failed", zapcore.WarnLevel}
 	PeerJoined          = Event{302, "peer_joined", zapcore.InfoLevel}
@@ -78,7 +79,7 @@
 	return []Event{
 		Started, Leaving, Draining, Stopped, Paused, StopCutShort, SettingsReloaded, SettingsNotReloaded,
 		WatchFailed, OlderObjectRefused, BadObjectRefused, StaleStore, ReceiptsDropped, ReceiptsWriteFailed, ClaimsSwept,
-		ZoneEvacuated, ZoneTakenBack,
+		ZoneEvacuated, ZoneTakenBack, StoreRestored,
 		PeerFailed, PeerJoined, PeerSilent, Isolated, Confirmed, PulledFromPeer, RosterChanged, RosterFailed,
 		ServerLeaving, ServerLostToRequest, Quarantined, LibraryMessage, ServerBackOff, ServersCold,
 		AnswerPartial, AnswerRefused, AnswerUnknown, AnswerWhole, OverLimit, CallersRefused,
--- a/internal/node/forwardvm/keys.go
+++ b/internal/node/forwardvm/keys.go
@@ -83,7 +83,18 @@
 	}
 	sentAt := bootclock.Now()
 	known := ps.Fleets.Load().TableRevision
-	return func(version int64) { ps.Freshness.ConfirmByStore(sentAt, version, known) }
+	return func(version int64) {
+		if now := time.Now(); !ps.Fleets.Load().IsTableBehind(now) && !ps.mayLackLostTable(now) {
+			ps.Freshness.ConfirmByStore(sentAt, version, known)
+		}
+	}
+}
+
+// mayLackLostTable reports whether this process has just started and peers may know a newer
+// configuration than a store that was restored.
+func (ps *Process) mayLackLostTable(now time.Time) bool {
+	era, _ := ps.eras.Newest()
+	return era > 0 && ps.isDiscoveringPeers(now) && !ps.Cluster.WasInSync()
 }
 
 // reportStaleKeys logs when requests with keys begin and cease to be refused, and tells
--- a/internal/node/forwardvm/process.go
+++ b/internal/node/forwardvm/process.go
@@ -105,6 +105,8 @@
 // entry VMs.
 type FrontEnd struct {
 	Store platform.Reader
+	// Eras are those that Store sees in its answers.
+	Eras *platform.Eras
 	// Unreadable collects the entries that Store leaves out.
 	Unreadable *platform.Unreadable
 	// Roster keeps the roster of the entry VMs; nil if nothing does.
@@ -146,6 +148,8 @@
 	// rates are the shared rates, customers and cold servers.
 	rates   *rates
 	watcher *platform.Watcher
+	// eras holds the eras of the store.
+	eras *platform.Eras
 	// settings is the configuration in force, with the changes of reloads.
 	settings  *rcu.Value[Config]
 	startedAt time.Time
@@ -160,7 +164,9 @@
 	// departures counts the servers that said that they are leaving, backOffs how
 	// often a server began to ask for no requests; backOffLogs limits the log lines
 	// about the latter, and lostLogs those about servers lost to requests.
-	departures, backOffs  atomic.Int64
+	departures, backOffs atomic.Int64
+	// storeRestores counts the rises of the store's era.
+	storeRestores         atomic.Int64
 	backOffLogs, lostLogs *rate.Limiter
 	// guard bounds what callers on all addresses occupy together.
 	guard *callerhttp.Guard
@@ -249,6 +255,8 @@
 	}
 	ps.watcher = platform.NewWatcher(fe.Store, prefixes, ps.target, pacing, ps.Log)
 	ps.watcher.OnCall = ps.onStoreCall
+	ps.eras = fe.Eras
+	ps.eras.OnRise = ps.onStoreRestored
 	ps.Cluster = &entry.Cluster{
 		Self: machine.EntryVM{
 			Name: cg.Name, Zone: cg.Zone, CallerAddress: cg.CallerAddress,
@@ -332,6 +340,19 @@
 	}
 }
 
+// onStoreRestored logs that the store came back from an older copy.
+func (ps *Process) onStoreRestored(before, now int64) {
+	fl := ps.Fleets.Load()
+	if before == 0 && fl.Version == 0 {
+		// The first answer of a store that was restored before.
+		return
+	}
+	ps.storeRestores.Add(1)
+	events.StoreRestored.Log(ps.Log, zap.Int64("from", before), zap.Int64("to", now), zap.Int64("revision", view.RevisionOf(fl.Version)),
+		zap.Int64("table_version", ps.tableVersion()))
+	ps.rates.leases.StoreRestored()
+}
+
 // listen opens all listeners and serves on them.
 func (ps *Process) listen(fe FrontEnd) error {
 	raw, err := net.Listen("tcp", ps.Config.CallerAddress)
--- a/internal/node/forwardvm/state.go
+++ b/internal/node/forwardvm/state.go
@@ -42,7 +42,9 @@
 	// nil if that was never known. KeysStale is set while keys are refused for its age.
 	TableAge  *time.Duration `json:"table_age_ns"`
 	KeysStale bool           `json:"keys_stale"`
-	// Version and Digest identify the local copy of the platform's objects.
+	// StoreEra, Version (a revision of that era) and Digest identify the local copy of the
+	// platform's objects.
+	StoreEra     int64  `json:"store_era"`
 	Version      int64  `json:"version"`
 	Digest       uint64 `json:"digest"`
 	TableVersion int64  `json:"table_version"`
@@ -96,7 +98,7 @@
 		At: now, Name: ps.Config.Name, Zone: ps.Config.Zone, StartedAt: ps.startedAt,
 		Ready: ps.IsReady(now), Leaving: ps.IsLeaving(), CarriesCallers: ps.carriesCallers.Load(),
 		WatchesPlatform: ps.watcher.IsCurrent(), PlatformUnreachable: ps.isPlatformUnreachable(), ConfirmationAge: now.Sub(ps.Cluster.ConfirmedAt()),
-		Version: fl.Version, Digest: fl.Digest, EntryVMs: ps.Cluster.Members(now),
+		StoreEra: view.EraOf(fl.Version), Version: view.RevisionOf(fl.Version), Digest: fl.Digest, EntryVMs: ps.Cluster.Members(now),
 		Quarantines: ps.Service.Quarantine.Crashes(), Links: ps.Backend.Pools(), Unreadable: ps.unreadable.Entries(),
 		Evacuated: slices.Sorted(maps.Keys(fl.Evacuated)), Rates: ps.rates.state(),
 	}
@@ -179,6 +181,8 @@
 		"forward_server_departures": float64(ps.departures.Load()),
 		"forward_server_back_offs":  float64(ps.backOffs.Load()),
 		"forward_unreadable":        float64(ps.unreadable.Total.Load()),
+		"forward_store_era":         float64(view.EraOf(fl.Version)),
+		"forward_store_restores":    float64(ps.storeRestores.Load()),
 		"forward_log_lines_dropped": float64(ps.droppedLines()),
 
 		"forward_callers_leased_bytes":                 float64(ps.guard.Leased()),
--- a/internal/node/forwardvm/upkeep.go
+++ b/internal/node/forwardvm/upkeep.go
@@ -6,7 +6,6 @@
 	"math"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -49,6 +48,8 @@
 		}
 		ps.unreadable.Record(now, err.Error())
 	}
+	// A peer may know of a restore that this process has not seen yet.
+	ps.eras.Observe(view.EraOf(after.Version))
 	if after.Digest != before.Digest {
 		ps.Cluster.TriggerRound()
 	}
@@ -92,13 +93,7 @@
 
 // KeysOlderThan implements platform.Target.
 func (ft *fleetTarget) KeysOlderThan(prefix string, version int64) []string {
-	var keys []string
-	for key, ob := range ft.Current().Objects.All() {
-		if strings.HasPrefix(key, prefix) && !ob.Deleted && ob.Version < version {
-			keys = append(keys, key)
-		}
-	}
-	return keys
+	return ft.Current().KeysOlderThan(prefix, version)
 }
 
 // Confirm implements platform.Target. It does nothing, since
--- a/internal/peer/entry/cluster.go
+++ b/internal/peer/entry/cluster.go
@@ -138,6 +138,8 @@
 	// everConfirmed is set with the first confirmation by the platform and never
 	// cleared.
 	everConfirmed atomic.Bool
+	// wasInSync is set once a peer's copy was the same as this one.
+	wasInSync atomic.Bool
 	// recent is the last result of recentMembers.
 	recent atomic.Pointer[memberList]
 	// rounds counts the rounds of heartbeats; partner is the entry address of the
@@ -183,6 +185,11 @@
 	cr.TriggerRound()
 }
 
+// WasInSync reports whether this process has ever known all that a peer knew.
+func (cr *Cluster) WasInSync() bool {
+	return cr.wasInSync.Load()
+}
+
 // TriggerRound starts a round of heartbeats without waiting for the next
 // interval. It does not block.
 func (cr *Cluster) TriggerRound() {
--- a/internal/peer/entry/lease.go
+++ b/internal/peer/entry/lease.go
@@ -71,6 +71,8 @@
 	place          atomic.Pointer[contract.RatePlace]
 	roster         atomic.Pointer[machine.Roster]
 	awaiting       atomic.Int64
+	// restored is set until Run takes note of a restore of the store.
+	restored atomic.Bool
 	// claimsFailed maps names of VMs to when a claim to them got no answer.
 	claimsFailed sync.Map
 	// Sent counts the messages sent, Failed those without an answer, and Claimed the
@@ -124,6 +126,13 @@
 	}
 }
 
+// StoreRestored is called when the store came back from an older copy: the roster in it may
+// be an earlier one, or gone.
+func (ls *Leases) StoreRestored() {
+	ls.restored.Store(true)
+	ls.Refresh()
+}
+
 // Place returns what is known about the VMs that share the rates; nil before Run.
 func (ls *Leases) Place() *contract.RatePlace {
 	return ls.place.Load()
--- a/internal/peer/entry/sync.go
+++ b/internal/peer/entry/sync.go
@@ -23,6 +23,9 @@
 	if !same && !behind && cr.shouldPull(sentAt, reply) {
 		same = cr.pull(ctx, address, reply)
 	}
+	if same || behind {
+		cr.wasInSync.Store(true)
+	}
 	if same && reply.Confirmed {
 		cr.Confirmation.Confirm(sentAt.Add(-time.Duration(reply.ConfirmedMs) * time.Millisecond))
 	}
@@ -60,6 +63,7 @@
 	case mb.Mismatches > 0:
 		after = max(min(after, reply.Version)-pullOverlap, 0)
 	}
+	after = cr.Replica.Current().PullStart(after)
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), pullTimeout)
 	defer cancel()
 	sentAt := time.Now()
@@ -72,7 +76,7 @@
 	cr.Replica.Apply(time.Now(), cr.Replica.Current().Newer(decodeObjects(sentAt, pulled.Objects)))
 	digest := cr.Replica.Current().Digest
 	if digest != before {
-		events.PulledFromPeer.Log(cr.Log, zap.String("peer", reply.GetSender().GetName()), zap.Int64("version", pulled.Version))
+		events.PulledFromPeer.Log(cr.Log, zap.String("peer", reply.GetSender().GetName()), zap.Int64("version", view.RevisionOf(pulled.Version)))
 	}
 	return digest == reply.Digest
 }
@@ -83,7 +87,7 @@
 	objects := make([]view.Object, len(pulled))
 	for i, ob := range pulled {
 		objects[i] = view.Object{Key: ob.Key, Version: ob.Version, Value: ob.Value, Deleted: ob.Deleted}
-		if ob.Deleted {
+		if objects[i].HasAge() {
 			objects[i].SeenAt = sentAt.Add(-time.Duration(ob.AgeMs) * time.Millisecond)
 		}
 	}
@@ -96,7 +100,7 @@
 	reply := &entrypb.PullReply{Version: cp.Version}
 	for _, ob := range cp.NewerThan(rq.After, rq.Have) {
 		message := &entrypb.Object{Key: ob.Key, Version: ob.Version, Value: ob.Value, Deleted: ob.Deleted}
-		if ob.Deleted && !ob.SeenAt.IsZero() {
+		if ob.HasAge() && !ob.SeenAt.IsZero() {
 			message.AgeMs = ageMillis(now, ob.SeenAt)
 		}
 		reply.Objects = append(reply.Objects, message)
--- a/internal/peer/platform/store.go
+++ b/internal/peer/platform/store.go
@@ -4,6 +4,7 @@
 package platform
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -49,7 +50,7 @@
 	Reader
 	Get(ctx context.Context, key string) (view.Object, error)
 	// Put writes a value if the object's version is ifVersion, 0 if it must not
-	// exist, and returns the new version.
+	// exist, and returns the new version. A version of an earlier era is not current.
 	Put(ctx context.Context, key, value string, ifVersion int64) (int64, error)
 	Delete(ctx context.Context, key string, ifVersion int64) error
 	VMs(ctx context.Context) ([]VM, error)
@@ -81,6 +82,7 @@
 	// Reads and Writes count the calls, including those that the rate limit
 	// refused; Failures counts those that got no answer and were not given up by their caller.
 	Reads, Writes, Failures atomic.Int64
+	eras                    Eras
 	// failedAt is when a call last failed without an answer, answeredAt when one
 	// was last answered, in Unix nanoseconds.
 	failedAt, answeredAt atomic.Int64
@@ -92,8 +94,10 @@
 		reads:  rate.NewLimiter(rate.Limit(rl.ReadsPerSecond), int(rl.ReadsPerSecond*burstSeconds)+1),
 		writes: rate.NewLimiter(rate.Limit(rl.WritesPerSecond), int(rl.WritesPerSecond*burstSeconds)+1),
 	}
+	eraReader := *hc
+	eraReader.Transport = eraTransport{cmp.Or[http.RoundTripper](hc.Transport, http.DefaultTransport)}
 	for _, address := range addresses {
-		ac, err := platformapi.NewClient("http://"+address, platformapi.WithClient(hc))
+		ac, err := platformapi.NewClient("http://"+address, platformapi.WithClient(&eraReader))
 		if err != nil {
 			return nil, fmt.Errorf("platform address %s: %w", address, err)
 		}
@@ -111,31 +115,37 @@
 	return cl.failedAt.Load() > cl.answeredAt.Load()
 }
 
-// call makes one call within the rate limit. If there is no answer, later calls
-// use the next address.
-func call[R any](caller context.Context, cl *Client, limiter *rate.Limiter, timeout time.Duration, do func(context.Context, *platformapi.Client) (R, error)) (R, error) {
+// Eras implements EraSource.
+func (cl *Client) Eras() *Eras {
+	return &cl.eras
+}
+
+// call makes one call within the rate limit, and returns the era of the answer with it. If
+// there is no answer, later calls use the next address.
+func call[R any](caller context.Context, cl *Client, limiter *rate.Limiter, timeout time.Duration, do func(context.Context, *platformapi.Client) (R, error)) (R, int64, error) {
 	var none R
 	if err := limiter.Wait(caller); err != nil {
-		return none, fmt.Errorf("%w: %w", ErrRateLimited, err)
+		return none, 0, fmt.Errorf("%w: %w", ErrRateLimited, err)
 	}
 	ctx, cancel := context.WithTimeout(caller, timeout)
 	defer cancel()
 	at := cl.current.Load()
+	ctx, era := withEra(ctx)
 	rs, err := do(ctx, cl.clients[at%int64(len(cl.clients))])
-	if err == nil {
+	isOld := *era >= 0 && !cl.eras.Observe(*era)
+	if known := responseError(err); err == nil || known != nil {
 		cl.answeredAt.Store(time.Now().UnixNano())
-		return rs, nil
-	}
-	if known := responseError(err); known != nil {
-		cl.answeredAt.Store(time.Now().UnixNano())
-		return none, known
+		if isOld {
+			return none, 0, ErrOldEra
+		}
+		return rs, *era, known
 	}
 	if caller.Err() == nil {
 		cl.Failures.Add(1)
 		cl.failedAt.Store(time.Now().UnixNano())
 		cl.current.CompareAndSwap(at, at+1)
 	}
-	return none, fmt.Errorf("call platform: %w", err)
+	return none, 0, fmt.Errorf("call platform: %w", err)
 }
 
 // responseError returns the error in the platform's answer, nil if the outcome
@@ -161,32 +171,49 @@
 // Get implements Store.
 func (cl *Client) Get(ctx context.Context, key string) (view.Object, error) {
 	cl.Reads.Add(1)
-	ob, err := call(ctx, cl, cl.reads, callTimeout, func(ctx context.Context, ac *platformapi.Client) (*platformapi.Object, error) {
+	ob, era, err := call(ctx, cl, cl.reads, callTimeout, func(ctx context.Context, ac *platformapi.Client) (*platformapi.Object, error) {
 		return ac.GetObject(ctx, platformapi.GetObjectParams{Key: key})
 	})
 	if err != nil {
 		return view.Object{}, fmt.Errorf("get %s: %w", key, err)
 	}
-	return objectOf(*ob), nil
+	return objectOf(era, *ob)
+}
+
+// isOfNewestEra reports whether an object may still have a version: the store has not been
+// restored since, as far as this process knows.
+func (cl *Client) isOfNewestEra(version int64) bool {
+	era, _ := cl.eras.Newest()
+	return version == 0 || view.EraOf(version) == era
 }
 
 // Put implements Store.
 func (cl *Client) Put(ctx context.Context, key, value string, ifVersion int64) (int64, error) {
+	if !cl.isOfNewestEra(ifVersion) {
+		return 0, fmt.Errorf("put %s: %w", key, ErrConflict)
+	}
 	cl.Writes.Add(1)
-	stamp, err := call(ctx, cl, cl.writes, callTimeout, func(ctx context.Context, ac *platformapi.Client) (*platformapi.Stamp, error) {
-		return ac.PutObject(ctx, &platformapi.Value{Value: value}, platformapi.PutObjectParams{Key: key, IfVersion: ifVersion})
+	stamp, era, err := call(ctx, cl, cl.writes, callTimeout, func(ctx context.Context, ac *platformapi.Client) (*platformapi.Stamp, error) {
+		return ac.PutObject(ctx, &platformapi.Value{Value: value}, platformapi.PutObjectParams{Key: key, IfVersion: view.RevisionOf(ifVersion)})
 	})
 	if err != nil {
 		return 0, fmt.Errorf("put %s: %w", key, err)
 	}
-	return stamp.Version, nil
+	version, err := view.MakeVersion(era, stamp.Version)
+	if err != nil {
+		return 0, fmt.Errorf("put %s: %w", key, err)
+	}
+	return version, nil
 }
 
 // Delete implements Store.
 func (cl *Client) Delete(ctx context.Context, key string, ifVersion int64) error {
+	if !cl.isOfNewestEra(ifVersion) {
+		return fmt.Errorf("delete %s: %w", key, ErrConflict)
+	}
 	cl.Writes.Add(1)
-	_, err := call(ctx, cl, cl.writes, callTimeout, func(ctx context.Context, ac *platformapi.Client) (*platformapi.Stamp, error) {
-		return ac.DeleteObject(ctx, platformapi.DeleteObjectParams{Key: key, IfVersion: ifVersion})
+	_, _, err := call(ctx, cl, cl.writes, callTimeout, func(ctx context.Context, ac *platformapi.Client) (*platformapi.Stamp, error) {
+		return ac.DeleteObject(ctx, platformapi.DeleteObjectParams{Key: key, IfVersion: view.RevisionOf(ifVersion)})
 	})
 	if err != nil {
 		return fmt.Errorf("delete %s: %w", key, err)
@@ -197,31 +224,31 @@
 // List implements Store.
 func (cl *Client) List(ctx context.Context, prefix string) ([]view.Object, int64, error) {
 	cl.Reads.Add(1)
-	ls, err := call(ctx, cl, cl.reads, callTimeout, func(ctx context.Context, ac *platformapi.Client) (*platformapi.Listing, error) {
+	ls, era, err := call(ctx, cl, cl.reads, callTimeout, func(ctx context.Context, ac *platformapi.Client) (*platformapi.Listing, error) {
 		return ac.ListObjects(ctx, platformapi.ListObjectsParams{Prefix: prefix})
 	})
 	if err != nil {
 		return nil, 0, fmt.Errorf("list %s: %w", prefix, err)
 	}
-	return objectsOf(ls.Objects), ls.Version, nil
+	return objectsOf(era, ls.Objects, ls.Version)
 }
 
 // Watch implements Store.
 func (cl *Client) Watch(ctx context.Context, prefix string, from int64, wait time.Duration) ([]view.Object, int64, error) {
 	cl.Reads.Add(1)
-	ch, err := call(ctx, cl, cl.reads, wait+watchSlack, func(ctx context.Context, ac *platformapi.Client) (*platformapi.Changes, error) {
+	ch, era, err := call(ctx, cl, cl.reads, wait+watchSlack, func(ctx context.Context, ac *platformapi.Client) (*platformapi.Changes, error) {
 		return ac.WatchObjects(ctx, platformapi.WatchObjectsParams{Prefix: prefix, From: from, WaitMs: wait.Milliseconds()})
 	})
 	if err != nil {
 		return nil, 0, fmt.Errorf("watch %s: %w", prefix, err)
 	}
-	return objectsOf(ch.Objects), ch.Next, nil
+	return objectsOf(era, ch.Objects, ch.Next)
 }
 
 // VMs implements Store.
 func (cl *Client) VMs(ctx context.Context) ([]VM, error) {
 	cl.Reads.Add(1)
-	listed, err := call(ctx, cl, cl.reads, callTimeout, func(ctx context.Context, ac *platformapi.Client) ([]platformapi.VM, error) {
+	listed, _, err := call(ctx, cl, cl.reads, callTimeout, func(ctx context.Context, ac *platformapi.Client) ([]platformapi.VM, error) {
 		return ac.ListVMs(ctx)
 	})
 	if err != nil {
@@ -234,14 +261,25 @@
 	return vms, nil
 }
 
-func objectsOf(listed []platformapi.Object) []view.Object {
+// objectsOf returns the objects in an answer of an era, and the version of a revision in it.
+func objectsOf(era int64, listed []platformapi.Object, revision int64) ([]view.Object, int64, error) {
+	version, err := view.MakeVersion(era, revision)
+	if err != nil {
+		return nil, 0, fmt.Errorf("version of the answer: %w", err)
+	}
 	objects := make([]view.Object, len(listed))
-	for i, ob := range listed {
-		objects[i] = objectOf(ob)
+	for i, each := range listed {
+		if objects[i], err = objectOf(era, each); err != nil {
+			return nil, 0, err
+		}
 	}
-	return objects
+	return objects, version, nil
 }
 
-func objectOf(ob platformapi.Object) view.Object {
-	return view.Object{Key: ob.Key, Version: ob.Version, Value: ob.Value, Deleted: ob.Deleted.Value}
+func objectOf(era int64, ob platformapi.Object) (view.Object, error) {
+	version, err := view.MakeVersion(era, ob.Version)
+	if err != nil {
+		return view.Object{}, fmt.Errorf("version of object %s: %w", ob.Key, err)
+	}
+	return view.Object{Key: ob.Key, Version: version, Value: ob.Value, Deleted: ob.Deleted.Value}, nil
 }
--- a/internal/peer/platform/store_test.go
+++ b/internal/peer/platform/store_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"daisystage.example/daisystage/internal/peer/platform"
+	"daisystage.example/daisystage/internal/world/view"
 )
 
 // TestIsDown checks which ends of a call mean that the platform is down. Entry VMs that
@@ -72,6 +73,54 @@
 	assert.Assert(t, !cl.IsDown())
 }
 
+// TestClientTellsErasApart guards against an answer from before a restore of the platform
+// that passes for a new one, and a write that replaces another object with the same version.
+func TestClientTellsErasApart(t *testing.T) {
+	era, calls := "", 0
+	hs := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, rq *http.Request) {
+		calls++
+		if era != "" {
+			w.Header().Set("Platform-Era", era)
+		}
+		if era == "1" {
+			failWith(http.StatusServiceUnavailable, "unavailable")(w, rq)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = w.Write([]byte(`{"objects":[{"key":"teams/a","version":7,"value":"x"}],"version":9}`))
+	}))
+	defer hs.Close()
+	cl, err := platform.New([]string{hs.Listener.Addr().String()}, hs.Client(), platform.RateLimits{ReadsPerSecond: 100, WritesPerSecond: 10})
+	assert.NilError(t, err)
+	objects, version, err := cl.List(t.Context(), "teams/")
+	assert.NilError(t, err)
+	assert.Equal(t, version, int64(9))
+	assert.Equal(t, objects[0].Version, int64(7))
+
+	// The era counts in a failure, too.
+	era = "1"
+	_, _, err = cl.List(t.Context(), "teams/")
+	assert.Assert(t, err != nil)
+	newest, _ := cl.Eras().Newest()
+	assert.Equal(t, newest, int64(1))
+	era = "2"
+	objects, version, err = cl.List(t.Context(), "teams/")
+	assert.NilError(t, err)
+	for have, revision := range map[int64]int64{version: 9, objects[0].Version: 7} {
+		want, err := view.MakeVersion(2, revision)
+		assert.NilError(t, err)
+		assert.Equal(t, have, want)
+	}
+	before := calls
+	_, err = cl.Put(t.Context(), "teams/a", "y", 7)
+	assert.ErrorIs(t, err, platform.ErrConflict)
+	assert.ErrorIs(t, cl.Delete(t.Context(), "teams/a", 7), platform.ErrConflict)
+	assert.Equal(t, calls, before)
+	era = ""
+	_, _, err = cl.List(t.Context(), "teams/")
+	assert.ErrorIs(t, err, platform.ErrOldEra)
+}
+
 func failWith(status int, code string) http.HandlerFunc {
 	return func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
--- a/internal/peer/platform/viewtarget.go
+++ b/internal/peer/platform/viewtarget.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -31,13 +30,7 @@
 
 // KeysOlderThan implements Target.
 func (vt ViewTarget) KeysOlderThan(prefix string, version int64) []string {
-	var keys []string
-	for key, ob := range vt.Views.Load().Objects.All() {
-		if strings.HasPrefix(key, prefix) && !ob.Deleted && ob.Version < version {
-			keys = append(keys, key)
-		}
-	}
-	return keys
+	return vt.Current().KeysOlderThan(prefix, version)
 }
 
 // Confirm implements Target.
@@ -52,21 +45,14 @@
 		return
 	}
 	views.Update(func(vw view.View) view.View {
-		for _, ob := range objects {
-			next, err := vw.Apply(ob)
-			if err != nil {
-				logRefused(log, ob, err)
-			}
-			vw = next
-		}
-		return vw
+		return vw.ApplyAll(objects, func(ob view.Object, err error) { logRefused(log, ob, err) })
 	})
 }
 
 func logRefused(log *zap.Logger, ob view.Object, err error) {
 	if errors.Is(err, view.ErrOlderVersion) {
-		events.OlderObjectRefused.Log(log, zap.String("key", ob.Key), zap.Int64("version", ob.Version), zap.Error(err))
+		events.OlderObjectRefused.Log(log, zap.String("key", ob.Key), zap.Int64("version", view.RevisionOf(ob.Version)), zap.Int64("era", view.EraOf(ob.Version)), zap.Error(err))
 		return
 	}
-	events.BadObjectRefused.Log(log, zap.String("key", ob.Key), zap.Int64("version", ob.Version), zap.Error(err))
+	events.BadObjectRefused.Log(log, zap.String("key", ob.Key), zap.Int64("version", view.RevisionOf(ob.Version)), zap.Int64("era", view.EraOf(ob.Version)), zap.Error(err))
 }
--- a/internal/peer/platform/watcher.go
+++ b/internal/peer/platform/watcher.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -110,13 +112,15 @@
 	// active is closed while the watcher is active; it is replaced by an open
 	// channel when the watcher becomes inactive.
 	active chan struct{}
-	// listed holds the prefixes that were listed since the watcher last became
+	// listed holds the eras in which prefixes were listed since the watcher last became
 	// active.
-	listed map[string]bool
+	listed map[string]int64
 	// failedAt is when a call last failed; zero if one was answered since.
 	failedAt time.Time
 	// leadListed is closed when the lead prefix was listed or failed too often.
 	leadListed chan struct{}
+	// eras is the store's, or one of its own for a store that tells no era.
+	eras *Eras
 }
 
 // NewWatcher returns an active watcher.
@@ -124,7 +128,10 @@
 	wt := &Watcher{
 		Store: store, Prefixes: prefixes, Target: target, Pacing: pacing, Log: log,
 		confirmedAt: map[string]time.Time{}, newest: map[string]int64{}, slow: map[string]bool{}, refresh: map[string]chan struct{}{},
-		active: make(chan struct{}), listed: map[string]bool{}, leadListed: make(chan struct{}),
+		active: make(chan struct{}), listed: map[string]int64{}, leadListed: make(chan struct{}), eras: &Eras{},
+	}
+	if source, ok := store.(EraSource); ok {
+		wt.eras = source.Eras()
 	}
 	close(wt.active)
 	for _, prefix := range prefixes {
@@ -146,7 +153,7 @@
 		return
 	}
 	wt.active = make(chan struct{})
-	wt.listed = map[string]bool{}
+	wt.listed = map[string]int64{}
 	for _, prefix := range wt.Prefixes {
 		wt.Refresh(prefix)
 	}
@@ -175,12 +182,19 @@
 	return waited
 }
 
-// IsCurrent reports whether the watcher is active, all prefixes were listed and
-// no call has failed since the last answer.
+// IsCurrent reports whether the watcher is active, all prefixes were listed in the store's
+// newest era, and no call has failed since the last answer.
 func (wt *Watcher) IsCurrent() bool {
+	era, _ := wt.eras.Newest()
 	wt.lock.Lock()
 	defer wt.lock.Unlock()
-	return wt.isActive() && wt.recovered == nil && len(wt.listed) == len(wt.Prefixes)
+	if !wt.isActive() || wt.recovered != nil {
+		return false
+	}
+	return !slices.ContainsFunc(wt.Prefixes, func(prefix string) bool {
+		listed, ok := wt.listed[prefix]
+		return !ok || listed != era
+	})
 }
 
 // FailedWithin reports whether a call failed within a span before now and none
@@ -228,6 +242,10 @@
 		next, refreshed, err := wt.stepUnlessRefreshed(ctx, prefix, from, isFirst)
 		if refreshed {
 			from = -1
+			if wt.isRestored(prefix) {
+				// All entry VMs that watch see a restore at about the same time.
+				sleep(ctx, jitter(wakeDelay))
+			}
 			continue
 		}
 		if err == nil {
@@ -244,7 +262,9 @@
 		isFirst = false
 		if errors.Is(err, ErrCompacted) {
 			from = -1
-			wt.refreshOthers(prefix)
+			if !wt.isRestored(prefix) {
+				wt.refreshOthers(prefix)
+			}
 			events.WatchFailed.Log(wt.Log, zap.String("prefix", prefix), zap.Error(err))
 			continue
 		}
@@ -276,8 +296,18 @@
 	return func() {}
 }
 
+// isRestored reports whether the prefix was listed in an earlier era of the store only.
+func (wt *Watcher) isRestored(prefix string) bool {
+	era, _ := wt.eras.Newest()
+	wt.lock.Lock()
+	defer wt.lock.Unlock()
+	listed, ok := wt.listed[prefix]
+	return ok && listed < era
+}
+
 // stepUnlessRefreshed runs step. If a refresh of the prefix is requested during
-// a watch, it cancels the watch and reports refreshed.
+// a watch, or the store was restored since the watch's version, it cancels the watch and
+// reports refreshed.
 func (wt *Watcher) stepUnlessRefreshed(ctx context.Context, prefix string, from int64, isFirst bool) (next int64, refreshed bool, err error) {
 	if stale, ok := wt.Store.(StaleLister); ok && isFirst && from < 0 {
 		next, err = wt.listStale(ctx, stale, prefix)
@@ -287,12 +317,19 @@
 		next, err = wt.step(ctx, prefix, from)
 		return next, false, err
 	}
+	era, risen := wt.eras.Newest()
+	if view.EraOf(from) < era {
+		return 0, true, nil
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	done := make(chan struct{})
 	refreshRequested := make(chan bool, 1)
 	go func() {
 		select {
+		case <-risen:
+			cancel()
+			refreshRequested <- true
 		case <-wt.refresh[prefix]:
 			cancel()
 			refreshRequested <- true
@@ -346,6 +383,9 @@
 	if err != nil {
 		return 0, err
 	}
+	if !wt.eras.Observe(view.EraOf(version)) {
+		return 0, fmt.Errorf("list %s: %w", prefix, ErrOldEra)
+	}
 	wt.Target.Apply(time.Now(), objects)
 	// A short watch confirms the list soon.
 	wt.setSlow(prefix, true)
@@ -361,8 +401,16 @@
 		if err != nil {
 			return 0, err
 		}
-		wt.Target.Apply(time.Now(), append(objects, wt.deletionsOf(prefix, objects, version)...))
-		wt.confirm(prefix, startedAt)
+		era := view.EraOf(version)
+		if !wt.eras.Observe(era) {
+			return 0, fmt.Errorf("list %s: %w", prefix, ErrOldEra)
+		}
+		objects = append(objects, wt.deletionsOf(prefix, objects, version)...)
+		if mark, ok := view.NewEraMark(prefix, era); ok {
+			objects = append(objects, mark)
+		}
+		wt.Target.Apply(time.Now(), objects)
+		wt.confirm(prefix, startedAt, era)
 		answered(version)
 		return version, nil
 	}
@@ -375,12 +423,17 @@
 		return 0, err
 	}
 	wt.setSlow(prefix, time.Since(startedAt) > wait+slowCallTime)
+	if era := view.EraOf(next); era != view.EraOf(from) {
+		// The watch may have missed changes since the restore.
+		wt.eras.Observe(era)
+		return -1, nil
+	}
 	if next < from {
 		events.StaleStore.Log(wt.Log, zap.String("prefix", prefix), zap.Int64("version", next), zap.Int64("known", from))
 		return from, nil
 	}
 	wt.Target.Apply(time.Now(), objects)
-	wt.confirm(prefix, startedAt)
+	wt.confirm(prefix, startedAt, view.EraOf(next))
 	answered(next)
 	if len(objects) == 0 && wt.Pacing.KeepsHistory != nil && wt.Pacing.KeepsHistory(prefix) && time.Since(startedAt) >= wait {
 		return from, nil
@@ -434,13 +487,13 @@
 	wt.slow[prefix] = slow
 }
 
-// confirm records that the prefix matched the platform's objects at asOf. The
+// confirm records that the prefix matched the platform's objects at asOf, in an era. The
 // target is confirmed as of the oldest of its prefixes.
-func (wt *Watcher) confirm(prefix string, asOf time.Time) {
+func (wt *Watcher) confirm(prefix string, asOf time.Time, era int64) {
 	wt.lock.Lock()
 	defer wt.lock.Unlock()
 	wt.confirmedAt[prefix] = asOf
-	wt.listed[prefix] = true
+	wt.listed[prefix] = era
 	oldest := asOf
 	for _, name := range wt.Prefixes {
 		at, ok := wt.confirmedAt[name]
--- a/internal/world/view/copy.go
+++ b/internal/world/view/copy.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -24,7 +25,7 @@
 // copies by digest and exchange objects that differ. The zero value is an empty
 // copy, ready to use.
 type Copy struct {
-	// Version is the highest version of any object in the copy.
+	// Version is the highest version (MakeVersion) of any object in the copy.
 	Version int64
 	// Digest is the XOR of the hashes of all objects' keys and versions, so that
 	// it does not depend on the order of the changes.
@@ -49,15 +50,15 @@
 }
 
 // With returns the copy with an object applied, and whether that changed it. An
-// object that is older than the one in the copy results in ErrOlderVersion. Of
-// an object and a deletion with the same version, the deletion wins.
+// object that is older than the one in the copy, or than the mark of its prefix, results
+// in ErrOlderVersion. Of an object and a deletion with the same version, the deletion wins.
 func (cp Copy) With(ob Object) (Copy, bool, error) {
 	have, known := cp.Objects.Get(ob.Key)
 	if known && ob.Version == have.Version && (have.Deleted || !ob.Deleted) {
 		return cp, false, nil
 	}
-	if known && ob.Version < have.Version {
-		return cp, false, fmt.Errorf("object %s at version %d, have %d: %w", ob.Key, ob.Version, have.Version, ErrOlderVersion)
+	if limit := max(have.Version, cp.markOf(ob.Key)); ob.Version < limit {
+		return cp, false, fmt.Errorf("object %s at %s, have %s: %w", ob.Key, FormatVersion(ob.Version), FormatVersion(limit), ErrOlderVersion)
 	}
 	cp.Objects = cp.Objects.With(ob.Key, ob)
 	cp.Version = max(cp.Version, ob.Version)
@@ -65,9 +66,14 @@
 	if known {
 		cp.Digest ^= objectHash(have)
 	}
+	return cp.withTrail(), true, nil
+}
+
+// withTrail returns the copy with a change of its digest recorded.
+func (cp Copy) withTrail() Copy {
 	cp.Trail[cp.Changes%trailLength] = VersionDigest{Version: cp.Version, Digest: cp.Digest}
 	cp.Changes++
-	return cp, true, nil
+	return cp
 }
 
 // Newer returns those of the given objects that With would apply. It reuses the
@@ -75,10 +81,24 @@
 func (cp *Copy) Newer(objects []Object) []Object {
 	return slices.DeleteFunc(objects, func(ob Object) bool {
 		have, ok := cp.Objects.Get(ob.Key)
-		return ok && (ob.Version < have.Version || ob.Version == have.Version && (have.Deleted || !ob.Deleted))
+		return ob.Version < cp.markOf(ob.Key) || ok && (ob.Version < have.Version || ob.Version == have.Version && (have.Deleted || !ob.Deleted))
 	})
 }
 
+// KeysOlderThan returns the keys under a prefix whose objects are older than a version and
+// of its era. Of those, one that a list at that version lacks was deleted; objects of
+// earlier eras are replaced by a mark.
+func (cp *Copy) KeysOlderThan(prefix string, version int64) []string {
+	var keys []string
+	start := eraStart(EraOf(version))
+	for key, ob := range cp.Objects.All() {
+		if strings.HasPrefix(key, prefix) && !ob.Deleted && ob.Version < version && ob.Version >= start {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
 // Digests returns the hashes of the objects that are newer than a version.
 func (cp *Copy) Digests(version int64) []uint64 {
 	var digests []uint64
--- a/internal/world/view/fleet.go
+++ b/internal/world/view/fleet.go
@@ -19,6 +19,9 @@
 	Table *contract.Table
 	// TableRevision is the highest version in the store of an object under PrefixTable.
 	TableRevision int64
+	// StoredTable is the version of the table that the store has; 0 if it has none. It is
+	// lower than that of Table if the store was restored.
+	StoredTable int64
 	// Servers holds all servers by name.
 	Servers map[string]*machine.Server
 	// Services holds the servers of each service, sorted by name.
@@ -28,6 +31,12 @@
 	// expiring holds the time at which servers whose record disappeared are
 	// removed, by name.
 	expiring map[string]time.Time
+	// heldZones holds the evacuated zones whose object the store lost in a restore, with
+	// the time until which it may be written again. It is replaced, not changed.
+	heldZones map[string]time.Time
+	// behindUntil is until when the store may lack the table in force after a restore;
+	// zero before the first one.
+	behindUntil time.Time
 	// former holds removed servers by name, for formerServerTTL. One that
 	// registers again without a restart keeps what is known about it.
 	former map[string]formerServer
@@ -225,6 +234,7 @@
 // setEvacuated marks a zone as evacuated or takes the mark back. Requests that began with
 // an older fleet see it in the state of the servers.
 func (dr *draft) setEvacuated(now time.Time, zone string, evacuated bool) {
+	dr.releaseEvacuation(zone)
 	zones := cloneOrEmpty(dr.Evacuated)
 	delete(zones, zone)
 	if evacuated {
@@ -239,8 +249,14 @@
 }
 
 // RemoveExpired returns a fleet without the expired servers: those whose record
-// disappeared and whose removal is due.
+// disappeared and whose removal is due. It also takes back the evacuations that the store
+// lost in a restore and that were not written again.
 func (fl Fleet) RemoveExpired(now time.Time) Fleet {
+	for zone, until := range fl.heldZones {
+		if !now.Before(until) {
+			fl = fl.update(func(dr *draft) { dr.setEvacuated(now, zone, false) })
+		}
+	}
 	for name, removeAt := range fl.expiring {
 		if !now.Before(removeAt) {
 			fl = fl.WithoutServer(now, name, now)
@@ -251,6 +267,11 @@
 
 // HasExpired reports whether RemoveExpired would change the fleet.
 func (fl *Fleet) HasExpired(now time.Time) bool {
+	for _, until := range fl.heldZones {
+		if !now.Before(until) {
+			return true
+		}
+	}
 	for _, removeAt := range fl.expiring {
 		if !now.Before(removeAt) {
 			return true
@@ -300,7 +321,7 @@
 func (fl Fleet) Apply(now time.Time, removalDelay time.Duration, codec FleetCodec, objects []Object) (Fleet, []error) {
 	var refused []error
 	next := fl.update(func(dr *draft) {
-		for _, ob := range objects {
+		for _, ob := range marksLast(objects) {
 			if err := dr.apply(now, removalDelay, codec, ob); err != nil {
 				refused = append(refused, fmt.Errorf("object %s: %w", ob.Key, err))
 			}
@@ -313,19 +334,42 @@
 	if ob.SeenAt.IsZero() {
 		ob.SeenAt = now
 	}
+	if ob.isKept() {
+		return dr.applyKept(now, codec, ob)
+	}
+	have, known := dr.Objects.Get(ob.Key)
 	cp, changed, err := dr.Copy.With(ob)
 	if err != nil || !changed {
 		return err
 	}
 	dr.Copy = cp
+	if ob.isEraMark() {
+		dr.applyEraMark(now, removalDelay, codec, ob)
+		return nil
+	}
+	isRestored := known && EraOf(have.Version) < EraOf(ob.Version)
 	kind, name, _ := strings.Cut(ob.Key, "/")
 	switch kind + "/" {
 	case PrefixFleetServers:
-		return dr.applyServer(now, removalDelay, codec, name, ob)
+		err := dr.applyServer(now, removalDelay, codec, name, ob)
+		if sv := dr.Servers[name]; isRestored && have.Deleted && sv != nil {
+			// Its record was removed, and may be back from the older copy only.
+			sv.State.MarkExpiring(now.Add(RewriteTime))
+		}
+		return err
 	case PrefixEvacuations:
+		if isRestored && ob.Deleted {
+			dr.holdEvacuation(name, ob.SeenAt.Add(RewriteTime))
+			return nil
+		}
 		dr.setEvacuated(now, name, !ob.Deleted)
 	case PrefixTable:
-		return dr.applyTable(codec, ob)
+		err := dr.applyTable(codec, ob)
+		if isRestored {
+			dr.keepTable(now, codec, have)
+		}
+		dr.dropKept(codec, ob.Key)
+		return err
 	}
 	// An object of a kind that only newer versions know is passed on to peers.
 	return nil
@@ -347,12 +391,14 @@
 func (dr *draft) applyTable(codec FleetCodec, ob Object) error {
 	dr.TableRevision = max(dr.TableRevision, ob.Version)
 	if ob.Deleted {
+		dr.StoredTable = 0
 		return nil
 	}
 	tb, err := codec.Table(ob.Value)
 	if err != nil {
 		return err
 	}
+	dr.StoredTable = tb.Version
 	dr.setTable(tb)
 	return nil
 }
--- a/internal/world/view/view.go
+++ b/internal/world/view/view.go
@@ -34,8 +34,8 @@
 // Object is one object of the platform.
 type Object struct {
 	Key string
-	// Version is the platform's version at the last change of the object. Each
-	// change of any object increases it.
+	// Version is the platform's version (MakeVersion) at the last change of the object.
+	// Each change of any object increases it.
 	Version int64
 	Value   string
 	// Deleted marks the record of a deletion.
@@ -75,6 +75,19 @@
 	Tokens      cowmap.Map[Token]
 }
 
+// ApplyAll returns the view with objects applied that were received together. refused is
+// called for each that can't be.
+func (vw View) ApplyAll(objects []Object, refused func(ob Object, err error)) View {
+	for _, ob := range marksLast(objects) {
+		next, err := vw.Apply(ob)
+		if err != nil {
+			refused(ob, err)
+		}
+		vw = next
+	}
+	return vw
+}
+
 // Apply returns the view with an object applied. An object whose version is already
 // applied changes nothing, and an older version results in ErrOlderVersion.
 // An object that can't be decoded results in an error; the state that it would
@@ -84,6 +97,9 @@
 	if err != nil || !changed {
 		return vw, err
 	}
+	if ob.isEraMark() {
+		return vw.applyEraMark(cp, ob), nil
+	}
 	next, err := vw.applyByPrefix(ob)
 	if err != nil {
 		next = vw
@@ -92,6 +108,19 @@
 	return next, err
 }
 
+// applyEraMark deletes the objects that a mark replaces; cp is the copy with the mark.
+func (vw View) applyEraMark(cp Copy, mark Object) View {
+	cp, dropped := cp.withoutMarked(mark)
+	for _, ob := range dropped {
+		ob.Deleted = true
+		if next, err := vw.applyByPrefix(ob); err == nil {
+			vw = next
+		}
+	}
+	vw.Copy = cp
+	return vw
+}
+
 // applyByPrefix decodes the object according to its key prefix and returns the view
 // with the result.
 func (vw View) applyByPrefix(ob Object) (View, error) {
