--- a/internal/world/machine/roster_test.go
+++ b/internal/world/machine/roster_test.go
@@ -419,6 +419,57 @@
 	})
 }
 
+// TestRestoredRosterGivesNoRight guards against VMs that were removed from the roster, and
+// find themselves listed again in the older copy from which the platform came back: they would
+// grant the same limits as those that removed them.
+func TestRestoredRosterGivesNoRight(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		// reaches is set if those that removed the others reach the platform after the
+		// restore.
+		reaches bool
+		// isLost is set if the platform has no roster at all then.
+		isLost bool
+	}{
+		{"an older roster", true, false},
+		{"an older roster, cut off", false, false},
+		{"no roster", true, true},
+		{"no roster, cut off", false, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			rw := newRosterZones(8, 1)
+			rw.run(20*time.Second, func() {})
+			// Six of eight lose the platform and are removed by two.
+			for i, ps := range rw.processes {
+				ps.side, ps.reaches = min(i/2, 1), i < 2
+			}
+			for rw.run(0, nil); len(rw.platform.roster.VMs) > 2; {
+				rw.run(time.Second, func() {})
+			}
+			rw.run(time.Second, func() {})
+			rw.platform.restore(rw.now, 4*time.Second)
+			if tt.isLost {
+				rw.platform.lose()
+			}
+			for i, ps := range rw.processes {
+				ps.reaches = i >= 2 || tt.reaches
+			}
+			rw.run(time.Minute, func() {
+				sum, _ := rw.granted()
+				assert.Assert(t, sum <= 1, "%s after the restore", rw.now)
+			})
+			sum, _ := rw.granted()
+			assert.Equal(t, sum, 1.0)
+			for _, ps := range rw.processes {
+				ps.side, ps.reaches = 0, true
+			}
+			rw.run(20*time.Second, func() {})
+			assert.Equal(t, len(rw.platform.roster.VMs), 8)
+			assert.Assert(t, !rw.platform.roster.IsRestored)
+		})
+	}
+}
+
 // TestStaleSeedAtFirstStart guards against a first start at which an address in the settings is
 // that of no VM: rates would be granted in part, or not at all, and the platform be called again
 // and again.
