--- a/internal/node/forwardvm/upkeep.go
+++ b/internal/node/forwardvm/upkeep.go
@@ -107,6 +107,9 @@
 		return cg.EvacuateWithin*minEvacuationWaitPercent/100 + rand.N(max(cg.EvacuateWithin*evacuationJitterPercent/100, 1))
 	}
 	wait := minWatchWait + rand.N(watchJitter)
+	if prefix == view.PrefixTable {
+		wait = min(wait, cg.ApplyWithin*tableWaitPercent/100)
+	}
 	if ps.isStrictTable(prefix) {
 		wait = min(wait, cg.RevokeWithin*strictWaitPercent/100)
 	}
