--- a/internal/node/forwardvm/keys.go
+++ b/internal/node/forwardvm/keys.go
@@ -20,10 +20,6 @@
 	// peers do not confirm the configuration watches the store itself. Keys earn nothing
 	// from 60 percent on.
 	strictPeerPercent = 50
-	// tableWaitPercent and tablePeerPercent are the same in percent of ApplyWithin, for
-	// deployments that are not strict. The rest is for a list by the process itself.
-	tableWaitPercent = 30
-	tablePeerPercent = 75
 )
 
 // keyBounds returns the bounds on the age of the configuration that are in force.
@@ -66,20 +62,17 @@
 }
 
 // lacksFreshTable reports whether peers do not confirm the configuration often enough for
-// changes to be in force in time, and for keys to be accepted. The age counts from the last
-// answer of the store, so that peers whose watches hang without notice confirm nothing.
+// keys to be accepted.
 func (ps *Process) lacksFreshTable(sinceBoot time.Duration) bool {
-	cg := ps.settings.Load()
-	limit := cg.ApplyWithin * tablePeerPercent / 100
-	if ps.isStrict() {
-		limit = min(limit, cg.RevokeWithin*strictPeerPercent/100)
+	if !ps.isStrict() {
+		return false
 	}
 	age := ps.Freshness.Relayed().Age(sinceBoot)
 	if ps.Config.FirstStart {
 		// The others have just started, too, and confirm the configuration soon.
 		age = min(age, time.Since(ps.startedAt))
 	}
-	return age > limit
+	return age > ps.settings.Load().RevokeWithin*strictPeerPercent/100
 }
 
 // onStoreCall returns a function that confirms the configuration as of now, to be called
