Ask for the store's answer after a removal only where the store may be restored

Callers could see: a customer's limit not granted in an outage of the store that begins within 20 s of the loss or the planned stop of an entry VM.

Change: only after the removal of a silent VM, since one that stopped is heard before it is listed again, and only if the store tells its era; one that does not is never restored. Copies of such a store are not searched for marks.

--- a/internal/peer/entry/lease.go
+++ b/internal/peer/entry/lease.go
@@ -151,6 +151,7 @@
 		if ls.restored.Swap(false) {
 			rk.StoreRestored(heartbeatNow)
 		}
+		rk.IsRestorable = ls.RosterStore.IsRestorable()
 		rk.Contacted(ls.Cluster.ConfirmedAt())
 		ls.learnRoster(heartbeatNow)
 	}
--- a/internal/peer/entry/lease_test.go
+++ b/internal/peer/entry/lease_test.go
@@ -154,6 +154,8 @@
 	return mr.roster, nil
 }
 
+func (*memRosters) IsRestorable() bool { return true }
+
 // TestRatesAfterLossOfAllSeeds guards against VMs that are back after a loss of all, without
 // the seeds, and neither find each other nor grant anything to customers below their limits.
 func TestRatesAfterLossOfAllSeeds(t *testing.T) {
--- a/internal/peer/entry/roster.go
+++ b/internal/peer/entry/roster.go
@@ -23,6 +23,9 @@
 	// WriteRoster replaces the roster if it still has the revision of next, and returns
 	// the one that is kept then.
 	WriteRoster(ctx context.Context, next machine.Roster) (machine.Roster, error)
+	// IsRestorable reports whether the store may come back from an older copy: it tells
+	// its era.
+	IsRestorable() bool
 }
 
 // rosterAnswer is the result of one call for the roster.
--- a/internal/world/contract/rateworld_test.go
+++ b/internal/world/contract/rateworld_test.go
@@ -151,7 +151,7 @@
 	vm.vms = machine.RateVMs{}
 	if rw.rosters != nil {
 		vm.isCalling, vm.era = false, rw.rosters.era
-		vm.vms.Roster = &machine.RosterKeeper{Self: machine.RosterVM{Name: vm.name, EntryAddress: vm.name}, StartedAt: rw.now}
+		vm.vms.Roster = &machine.RosterKeeper{Self: machine.RosterVM{Name: vm.name, EntryAddress: vm.name}, StartedAt: rw.now, IsRestorable: true}
 	}
 	bounds := contract.RateBounds{Customers: rw.bounds}
 	vm.share, vm.owner = contract.NewRateShare(bounds), contract.NewRateOwner(bounds, false)
--- a/internal/world/machine/roster.go
+++ b/internal/world/machine/roster.go
@@ -108,6 +108,8 @@
 	// before: none can be lost that this process never heard.
 	StartedAt time.Time
 	IsFirst   bool
+	// IsRestorable is set if the platform may come back from an older copy.
+	IsRestorable bool
 
 	roster Roster
 	// knownAt is since when there is a roster.
@@ -126,7 +128,7 @@
 	restoredAt, recheckFrom, contactAt time.Time
 	// learnedAt is when the roster was last taken over from a peer.
 	learnedAt time.Time
-	// removedLast is when a VM was last found to be no longer listed.
+	// removedLast is when a VM that was silent was last found to be no longer listed.
 	removedLast time.Time
 	// mustRead is set until the next answer if the process stood still, wasSilent until
 	// the next one after others were silent. isInformed is set once the process knows the
@@ -232,7 +234,9 @@
 	for _, vm := range rk.roster.VMs {
 		if !roster.Has(vm.Name) {
 			removed[vm.Name] = sentAt
-			rk.removedLast = sentAt
+			if slices.Contains(roster.Removed, vm.Name) {
+				rk.removedLast = sentAt
+			}
 		}
 	}
 	if !rk.IsKnown() {
@@ -273,11 +277,14 @@
 // still listed that were removed since: it answered after the copies became newer than that,
 // or a moment ago.
 func (rk *RosterKeeper) isDurable(now time.Time) bool {
+	if !rk.IsRestorable || rk.removedLast.IsZero() {
+		return true
+	}
 	answeredAt := rk.readAt
 	if rk.contactAt.After(answeredAt) {
 		answeredAt = rk.contactAt
 	}
-	return answeredAt.Sub(rk.removedLast) >= durableAfter || now.Sub(answeredAt) <= contactStale || rk.removedLast.IsZero()
+	return answeredAt.Sub(rk.removedLast) >= durableAfter || now.Sub(answeredAt) <= contactStale
 }
 
 // mayGrant reports whether a process that hears some VMs and does not hear others may grant.
--- a/internal/world/machine/roster_test.go
+++ b/internal/world/machine/roster_test.go
@@ -123,7 +123,7 @@
 	ps.isDown, ps.startedAt, ps.heard, ps.part, ps.answer = false, rw.now, map[string]EntryVM{}, 0, nil
 	ps.era, ps.eraAt, ps.vm.Leaving = rw.platform.era, time.Time{}, false
 	ps.vm.Incarnation = uint64(rw.now.UnixNano())
-	keeper := &RosterKeeper{Self: RosterVM{ps.vm.Name, ps.vm.EntryAddress}, StartedAt: rw.now}
+	keeper := &RosterKeeper{Self: RosterVM{ps.vm.Name, ps.vm.EntryAddress}, StartedAt: rw.now, IsRestorable: true}
 	ps.vms = RateVMs{Roster: keeper}
 }
 
--- a/internal/world/view/eramark.go
+++ b/internal/world/view/eramark.go
@@ -48,6 +48,9 @@
 
 // markOf returns the version of the mark that covers a key; 0 if there is none.
 func (cp *Copy) markOf(key string) int64 {
+	if EraOf(cp.Version) == 0 {
+		return 0
+	}
 	kind, _, _ := strings.Cut(key, "/")
 	mark, _ := cp.Objects.Get(prefixMarks + kind + "/")
 	return mark.Version
@@ -82,6 +85,9 @@
 // of the newest one.
 func (cp *Copy) PullStart(version int64) int64 {
 	start := eraStart(EraOf(cp.Version))
+	if start == 0 {
+		return version
+	}
 	for _, ob := range cp.Objects.All() {
 		if !ob.Deleted && ob.Version < start && !ob.isEraMark() && !ob.isKept() && ob.Key != KeyRoster {
 			return min(version, start-1)
