Take back the dating of confirmations by the store's last answer

Callers would see: more load on a store that answers slowly the slower it is.

What the next fix needs: successors of a watcher that hangs, one of each zone, in place of all VMs.

--- a/internal/node/forwardvm/process.go
+++ b/internal/node/forwardvm/process.go
@@ -52,16 +52,11 @@
 	// unreachableFor is how long after a failed call an entry VM considers the
 	// platform unreachable and leaves watching to other entry VMs.
 	unreachableFor = 5 * time.Second
-	// tableWaitPercent is how long a watch of the configuration waits for a change at
-	// most, in percent of ApplyWithin. With the pause between two watches and the
-	// interval of heartbeats, confirmations through peers stay younger than
-	// peerWaitPercent.
-	tableWaitPercent = 30
 	// peerWaitPercent is how long an entry VM without confirmation through peers
 	// waits before it watches the platform itself, in percent of the time within
 	// which a change must take effect: ApplyWithin or DrainFor, whichever is
-	// shorter. The rest is for its list.
-	peerWaitPercent = 75
+	// shorter.
+	peerWaitPercent = 55
 	// retryTurn is the length of each entry VM's turn to try an unreachable
 	// platform.
 	retryTurn = 300 * time.Millisecond
--- a/internal/node/forwardvm/upkeep.go
+++ b/internal/node/forwardvm/upkeep.go
@@ -107,21 +107,18 @@
 		return cg.EvacuateWithin*minEvacuationWaitPercent/100 + rand.N(max(cg.EvacuateWithin*evacuationJitterPercent/100, 1))
 	}
 	wait := minWatchWait + rand.N(watchJitter)
-	if prefix == view.PrefixTable {
-		wait = min(wait, cg.ApplyWithin*tableWaitPercent/100-rand.N(max(cg.ApplyWithin*tableWaitPercent/500, 1)))
-	}
 	if ps.isStrictTable(prefix) {
 		wait = min(wait, cg.RevokeWithin*strictWaitPercent/100)
 	}
 	return wait
 }
 
-// directlyConfirmedAt returns when the platform last confirmed the fleet to this process
-// directly: when it last answered a call for the configuration, while all prefixes are
-// listed and watched, else the zero time. A watch that hangs renews nothing.
+// directlyConfirmedAt returns when the platform last confirmed the fleet to
+// this process directly: now while all prefixes are listed and watched, else
+// the zero time.
 func (ps *Process) directlyConfirmedAt() time.Time {
 	if ps.watcher.IsCurrent() {
-		return ps.watcher.AnsweredAt(view.PrefixTable)
+		return time.Now()
 	}
 	return time.Time{}
 }
--- a/internal/peer/platform/watcher.go
+++ b/internal/peer/platform/watcher.go
@@ -100,8 +100,6 @@
 	lock sync.Mutex
 	// confirmedAt is when the last answered call for each prefix was sent.
 	confirmedAt map[string]time.Time
-	// answeredAt is when that call was answered.
-	answeredAt map[string]time.Time
 	// newest is the highest version in an answer for each prefix.
 	newest map[string]int64
 	// slow holds whether the last watch of a prefix was answered late.
@@ -129,7 +127,7 @@
 func NewWatcher(store Reader, prefixes []string, target Target, pacing WatchPacing, log *zap.Logger) *Watcher {
 	wt := &Watcher{
 		Store: store, Prefixes: prefixes, Target: target, Pacing: pacing, Log: log,
-		confirmedAt: map[string]time.Time{}, answeredAt: map[string]time.Time{}, newest: map[string]int64{}, slow: map[string]bool{}, refresh: map[string]chan struct{}{},
+		confirmedAt: map[string]time.Time{}, newest: map[string]int64{}, slow: map[string]bool{}, refresh: map[string]chan struct{}{},
 		active: make(chan struct{}), listed: map[string]int64{}, leadListed: make(chan struct{}), eras: &Eras{},
 	}
 	if source, ok := store.(EraSource); ok {
@@ -199,13 +197,6 @@
 	})
 }
 
-// AnsweredAt returns when a call for a prefix was last answered; the zero time if none was.
-func (wt *Watcher) AnsweredAt(prefix string) time.Time {
-	wt.lock.Lock()
-	defer wt.lock.Unlock()
-	return wt.answeredAt[prefix]
-}
-
 // FailedWithin reports whether a call failed within a span before now and none
 // was answered since.
 func (wt *Watcher) FailedWithin(now time.Time, span time.Duration) bool {
@@ -502,7 +493,6 @@
 	wt.lock.Lock()
 	defer wt.lock.Unlock()
 	wt.confirmedAt[prefix] = asOf
-	wt.answeredAt[prefix] = time.Now()
 	wt.listed[prefix] = era
 	oldest := asOf
 	for _, name := range wt.Prefixes {
