Grant whole limits while a VM that was removed is back

Callers would see: a customer above half of its limit refused for 6 s when one of two entry VMs comes back after it was removed from the roster.

Cause: after a removal only listed VMs count as seen, so that those that were removed a moment ago find the same parts. That lasted until the next answer about the roster, in calm for good, not for the 3 s for which removed VMs may still grant.

Before: TestReturnCostsNoRates has 0.5 of the limits granted. After: 1 throughout.

--- a/internal/world/machine/ratevms.go
+++ b/internal/world/machine/ratevms.go
@@ -173,7 +173,7 @@
 // countSeen returns the number of heard VMs that silent VMs count as well: those that are
 // listed, or without a roster those that were heard before the silence.
 func (rv *RateVMs) countSeen(now time.Time, rp *RatePlacement) int {
-	if rv.Roster == nil || len(rp.Silent) == 0 && len(rv.Roster.removedAt) == 0 {
+	if rv.Roster == nil || len(rp.Silent) == 0 && len(rv.Roster.unsettled(now)) == 0 {
 		return len(rp.Heard)
 	}
 	since := now
--- a/internal/world/machine/roster_test.go
+++ b/internal/world/machine/roster_test.go
@@ -403,6 +403,20 @@
 	}
 }
 
+// TestReturnCostsNoRates guards against limits that fall to a part because a VM that was removed
+// is back, and is not listed yet.
+func TestReturnCostsNoRates(t *testing.T) {
+	rw := newRosterZones(2, 1)
+	rw.run(20*time.Second, func() {})
+	rw.processes[1].isDown = true
+	rw.run(20*time.Second, func() {})
+	rw.start(rw.processes[1])
+	rw.run(20*time.Second, func() {
+		sum, _ := rw.granted()
+		assert.Equal(t, sum, 1.0)
+	})
+}
+
 // TestOldProcessesGrantNoMoreThanRates guards against VMs that were removed from the roster and,
 // since their processes have run for long, write themselves into it in place of those that
 // removed them.
