Ask for the store's answer after each removal from the roster

A VM that stopped was taken off the roster, the store came back from a copy that lists it, and it started again on another side of a partition.

Cause: asked for an answer of the store after the removal of silent VMs only. Change: after each removal again, where the store tells its era.

--- a/internal/world/machine/roster.go
+++ b/internal/world/machine/roster.go
@@ -128,7 +128,7 @@
 	restoredAt, recheckFrom, contactAt time.Time
 	// learnedAt is when the roster was last taken over from a peer.
 	learnedAt time.Time
-	// removedLast is when a VM that was silent was last found to be no longer listed.
+	// removedLast is when a VM was last found to be no longer listed.
 	removedLast time.Time
 	// mustRead is set until the next answer if the process stood still, wasSilent until
 	// the next one after others were silent. isInformed is set once the process knows the
@@ -234,9 +234,7 @@
 	for _, vm := range rk.roster.VMs {
 		if !roster.Has(vm.Name) {
 			removed[vm.Name] = sentAt
-			if slices.Contains(roster.Removed, vm.Name) {
-				rk.removedLast = sentAt
-			}
+			rk.removedLast = sentAt
 		}
 	}
 	if !rk.IsKnown() {
