Deny no route that an old configuration may lack

Callers got 404 for a route that had been added, and did not try again. forward answered 404 whenever the configuration in force had no route, also when the store had not confirmed it for long: while the store was away, on a VM that had just started with a peer's or a stale configuration, and after a restore before the second writing.

A missing route is now judged as an unknown key is: 404 only if the store confirmed the configuration within 98% of the time in which a change takes effect, else 503 with Retry-After. Callers use a route from that time after its acknowledgement on, so that a configuration that is younger has it.

--- a/internal/query/forward/forward.go
+++ b/internal/query/forward/forward.go
@@ -152,8 +152,8 @@
 	// ConfirmedAt returns the time of the last confirmation by the platform.
 	ConfirmedAt func() time.Time
 	// Freshness is that of the configuration in force, SinceBoot reads its clock, and
-	// KeyBounds returns the bounds on it. They are used only if the configuration has
-	// customers.
+	// KeyBounds returns the bounds on it. They are used for customers' keys and for requests
+	// without a route. Nil stands for a configuration that is always the newest.
 	Freshness  *view.Freshness
 	SinceBoot  func() time.Duration
 	KeyBounds  func() view.KeyBounds
@@ -182,6 +182,8 @@
 	// staleKeys is the outage of requests with keys while the configuration may be out of
 	// date.
 	staleKeys overload
+	// staleRoutes is the outage of requests without a route in that time.
+	staleRoutes overload
 }
 
 const (
@@ -278,7 +280,7 @@
 	rn.record.Age = max(now.Sub(sv.ConfirmedAt()), 0)
 	rn.route = tb.Match(rn.call.Message.Host, rn.call.Message.Path())
 	if rn.route == nil {
-		return contract.NewRefusal(contract.Invalid, contract.CodeNoRoute, "no route has this host and path")
+		return sv.noRoute(rn)
 	}
 	rn.record.Route = rn.route.Name
 	if rf := sv.checkKey(rn, tb); rf != nil {
@@ -302,6 +304,14 @@
 	return nil
 }
 
+// noRoute returns the refusal of a request for which the configuration in force has no route.
+func (sv *Service) noRoute(rn *run) *contract.Refusal {
+	if sv.Freshness == nil || sv.KeyBounds().IsUnknown(rn.keysAsOf.Age(sv.SinceBoot())) {
+		return contract.NewRefusal(contract.Invalid, contract.CodeNoRoute, "no route has this host and path")
+	}
+	return contract.NewRefusal(contract.NotRun, contract.CodeStaleRoutes, "the configuration has no route for this host and path, and may be too old to know it")
+}
+
 func (sv *Service) stateOf(route string) *routeState {
 	if value, ok := sv.routes.Load(route); ok {
 		return value.(*routeState)
@@ -471,6 +481,8 @@
 	case rf.Outcome != contract.NotRun || rf.RetryAfter > 0:
 	case rf.Code == contract.CodeStaleKeys:
 		rf.RetryAfter = sv.staleKeys.retryAfter(now, rn.call.Message.ID)
+	case rf.Code == contract.CodeStaleRoutes:
+		rf.RetryAfter = sv.staleRoutes.retryAfter(now, rn.call.Message.ID)
 	case rf.Code == contract.CodeStarting:
 		rf.RetryAfter = sv.starting.retryAfter(now, rn.call.Message.ID, minRetryAfterStarting)
 	case rf.Code == contract.CodeNoServer:
--- a/internal/query/forward/forward_test.go
+++ b/internal/query/forward/forward_test.go
@@ -176,6 +176,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			fe := &fakeEngine{answer: tt.answer, mayHaveRun: tt.mayHaveRun}
 			sv, ro := newService(t, fe)
+			sv.Freshness.ConfirmByStore(bootTime, 1, 1)
 			reply, err := sv.Run(t.Context(), time.Now(), newCall(tt.path, tt.deadline))
 			assert.Equal(t, ro.all[0].Outcome, tt.outcome)
 			assert.Equal(t, ro.all[0].Code, tt.code)
--- a/internal/world/contract/outcome.go
+++ b/internal/world/contract/outcome.go
@@ -62,6 +62,9 @@
 	// CodeStaleKeys refuses a request with a key, since the configuration may be out of
 	// date.
 	CodeStaleKeys Code = "stale_keys"
+	// CodeStaleRoutes refuses a request for which the configuration has no route, since it
+	// may be out of date.
+	CodeStaleRoutes Code = "stale_routes"
 	// CodeOverLimit refuses a request beyond the limit of its customer.
 	CodeOverLimit Code = "over_limit"
 )
--- a/internal/world/view/freshness.go
+++ b/internal/world/view/freshness.go
@@ -84,16 +84,17 @@
 	// callers. The rest is for requests in flight: sent data that is not acknowledged
 	// within 0.6 s breaks its connection.
 	refuseKeysPercent = 70
-	// unknownKeyPercent is the age of the configuration, in percent of ApplyWithin, up to
-	// which an unknown key is refused as unknown. Callers use a key from ApplyWithin after
-	// its configuration was acknowledged on, so that a younger configuration has it; the
-	// rest is for the drift of clocks.
-	unknownKeyPercent = 98
+	// unknownPercent is the age of the configuration, in percent of ApplyWithin, up to
+	// which an unknown key or route is refused as unknown. Callers use one from ApplyWithin
+	// after its configuration was acknowledged on, so that a younger configuration has it;
+	// the rest is for the drift of clocks.
+	unknownPercent = 98
 )
 
-// KeyBounds are the times within which a change of customers' keys must take effect.
+// KeyBounds are the times within which a change of customers' keys and of routes must take
+// effect.
 type KeyBounds struct {
-	// ApplyWithin is the time after which callers use added keys.
+	// ApplyWithin is the time after which callers use added keys and routes.
 	ApplyWithin time.Duration
 	// RevokeWithin is the time after which no request with a withdrawn key may run; 0 if
 	// keys are accepted whatever the age of the configuration.
@@ -105,8 +106,8 @@
 	return kb.RevokeWithin == 0 || age <= kb.RevokeWithin*refuseKeysPercent/100
 }
 
-// IsUnknown reports whether a key that a configuration of an age lacks is certainly
+// IsUnknown reports whether a key or route that a configuration of an age lacks is certainly
 // unknown.
 func (kb KeyBounds) IsUnknown(age time.Duration) bool {
-	return age <= kb.ApplyWithin*unknownKeyPercent/100
+	return age <= kb.ApplyWithin*unknownPercent/100
 }
