Deny no route that the unconfirmed settings of serve may lack

Callers of serve got 404 no_such_route from an isolated entry VM for a route that had been added since. Requests on known routes were refused as not run there (503 isolated), those on unknown ones were not: the settings' age was read only when there were none at all.

An unknown route is refused as isolated while the settings are unconfirmed, as a known one is.

Before: TestAddedRouteIsNotDeniedByIsolatedEntryVM got invalid no_such_route. After: it passes, as do the tests of refusals and of settings in entryvm.

--- a/internal/node/entryvm/settings_test.go
+++ b/internal/node/entryvm/settings_test.go
@@ -170,3 +170,20 @@
 		assert.Assert(t, rc.UnconfirmedSince != nil)
 	})
 }
+
+// TestAddedRouteIsNotDeniedByIsolatedEntryVM guards against the answer that there is no such
+// route, from an entry VM that may not know of it.
+func TestAddedRouteIsNotDeniedByIsolatedEntryVM(t *testing.T) {
+	withSite(t, site.GaismaPlan(), func(t *testing.T, st *site.Site) {
+		setZonePartitioned(st, 1, true)
+		time.Sleep(propagationLimit)
+		body := "class = \"urgent\"\ncollection = \"lessons\"\ndeadline = \"333ms\"\n"
+		_, err := st.PutSetting(t.Context(), time.Now(), contract.RoutePath(st.Plan.Team, "added"), body)
+		assert.NilError(t, err)
+		client, _ := st.Caller()
+		client.UseOnly(st.Configs[1].CallerAddress)
+		rs, err := client.Query(t.Context(), st.Plan.Team, "added", newID(), []byte(`{"text":"added"}`), 0)
+		assert.NilError(t, err)
+		assert.Equal(t, outcomeAndCode(rs), "not_run isolated")
+	})
+}
--- a/internal/query/request/service.go
+++ b/internal/query/request/service.go
@@ -152,6 +152,9 @@
 		if sv.Confirmation.AsOf().IsZero() {
 			return contract.NewRefusal(contract.NotRun, contract.CodeStarting, "this entry VM has no settings yet")
 		}
+		if !sv.Confirmation.IsConfirmed(now) {
+			return sv.isolatedRefusal()
+		}
 		return contract.NewRefusal(contract.Invalid, contract.CodeNoRoute, "there is no route %s", rn.receipt.Setting.Path)
 	}
 	rn.setting = setting
@@ -196,13 +199,18 @@
 	if sv.Confirmation.IsConfirmed(now) {
 		return nil
 	}
-	since := sv.Confirmation.AsOf()
 	if rn.setting.Route.WhenUnconfirmed == contract.UnconfirmedServeMarked {
+		since := sv.Confirmation.AsOf()
 		rn.receipt.UnconfirmedSince = &since
 		return nil
 	}
+	return sv.isolatedRefusal()
+}
+
+// isolatedRefusal returns the refusal of a request while the settings are unconfirmed.
+func (sv *Service) isolatedRefusal() *contract.Refusal {
 	return contract.NewRefusal(contract.NotRun, contract.CodeIsolated,
-		"this entry VM has had no word from the platform or a peer since %s", since.UTC().Format(time.RFC3339))
+		"this entry VM has had no word from the platform or a peer since %s", sv.Confirmation.AsOf().UTC().Format(time.RFC3339))
 }
 
 func quarantineRefusal() error {
