Leave out the entries of a configuration that can't be used

One route that can't be read, or a service with an odd limit, kept a whole configuration from being in force. All VMs stayed on the previous one at once: callers got old services, and 404 for added routes. The store accepts valid configurations only, so that such an entry is one that this project can't read.

The other entries now hold, as for records of servers. Requests for a route that can't be used are refused as not run (503 unusable_route), so that no route with a shorter prefix takes them.

--- a/internal/query/forward/forward.go
+++ b/internal/query/forward/forward.go
@@ -182,7 +182,8 @@
 	// staleKeys is the outage of requests with keys while the configuration may be out of
 	// date.
 	staleKeys overload
-	// staleRoutes is the outage of requests without a route in that time.
+	// staleRoutes is the outage of requests without a route in that time, and of those whose
+	// route can't be used.
 	staleRoutes overload
 }
 
@@ -279,10 +280,16 @@
 	// A confirmation may arrive after now was read.
 	rn.record.Age = max(now.Sub(sv.ConfirmedAt()), 0)
 	rn.route = tb.Match(rn.call.Message.Host, rn.call.Message.Path())
-	if rn.route == nil {
+	switch {
+	case rn.route == nil && tb.HidesRoutes:
+		return unusableRoute("the host or the prefix of a listed route is not known")
+	case rn.route == nil:
 		return sv.noRoute(rn)
 	}
 	rn.record.Route = rn.route.Name
+	if rn.route.Unusable != "" {
+		return unusableRoute(rn.route.Unusable)
+	}
 	if rf := sv.checkKey(rn, tb); rf != nil {
 		return rf
 	}
@@ -312,6 +319,10 @@
 	return contract.NewRefusal(contract.NotRun, contract.CodeStaleRoutes, "the configuration has no route for this host and path, and may be too old to know it")
 }
 
+func unusableRoute(reason string) *contract.Refusal {
+	return contract.NewRefusal(contract.NotRun, contract.CodeUnusableRoute, "%s", reason)
+}
+
 func (sv *Service) stateOf(route string) *routeState {
 	if value, ok := sv.routes.Load(route); ok {
 		return value.(*routeState)
@@ -481,7 +492,7 @@
 	case rf.Outcome != contract.NotRun || rf.RetryAfter > 0:
 	case rf.Code == contract.CodeStaleKeys:
 		rf.RetryAfter = sv.staleKeys.retryAfter(now, rn.call.Message.ID)
-	case rf.Code == contract.CodeStaleRoutes:
+	case rf.Code == contract.CodeStaleRoutes, rf.Code == contract.CodeUnusableRoute:
 		rf.RetryAfter = sv.staleRoutes.retryAfter(now, rn.call.Message.ID)
 	case rf.Code == contract.CodeStarting:
 		rf.RetryAfter = sv.starting.retryAfter(now, rn.call.Message.ID, minRetryAfterStarting)
--- a/internal/world/contract/outcome.go
+++ b/internal/world/contract/outcome.go
@@ -65,6 +65,9 @@
 	// CodeStaleRoutes refuses a request for which the configuration has no route, since it
 	// may be out of date.
 	CodeStaleRoutes Code = "stale_routes"
+	// CodeUnusableRoute refuses a request for a route that the configuration lists and that
+	// can't be used.
+	CodeUnusableRoute Code = "unusable_route"
 	// CodeOverLimit refuses a request beyond the limit of its customer.
 	CodeOverLimit Code = "over_limit"
 )
--- a/internal/world/contract/table.go
+++ b/internal/world/contract/table.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"errors"
+	"fmt"
 	"maps"
 	"slices"
 	"strings"
@@ -49,6 +51,9 @@
 	// MaxAttempts is the maximum number of servers of one service to which a
 	// request is sent; at least 1.
 	MaxAttempts int `json:"max_attempts"`
+	// Unusable tells why no request can be sent by the route; empty for those in the
+	// Routes of a table.
+	Unusable string `json:"unusable,omitempty"`
 }
 
 // Validate checks the name, host, prefix, targets, timeout and minimum coverage of
@@ -62,7 +67,7 @@
 	var fs faults
 	fs.addIf(fr.Name == "", FieldName, "route without name or host")
 	fs.addIf(fr.Name != "" && fr.Host == "", FieldHost, "route without name or host")
-	fs.addIf(!strings.HasPrefix(fr.Prefix, "/") || !strings.HasSuffix(fr.Prefix, "/"), FieldPrefix,
+	fs.addIf(!fr.hasPrefix(), FieldPrefix,
 		"route %s: prefix %q does not begin and end with a slash", fr.Name, fr.Prefix)
 	fs.addIf((len(fr.Services) == 0) == (len(fr.Shards) == 0), "", "route %s: names no service, or services and shards", fr.Name)
 	fs.addIf(fr.Timeout <= 0, FieldTimeout, "route %s: timeout %s is not positive", fr.Name, fr.Timeout)
@@ -75,6 +80,11 @@
 	return fs
 }
 
+// hasPrefix reports whether the prefix begins and ends with a slash.
+func (fr *ForwardRoute) hasPrefix() bool {
+	return strings.HasPrefix(fr.Prefix, "/") && strings.HasSuffix(fr.Prefix, "/")
+}
+
 // hasPositiveWeight reports whether a service has a positive weight, and none a
 // negative one.
 func hasPositiveWeight(services []WeightedService) bool {
@@ -142,6 +152,11 @@
 	Routes []*ForwardRoute
 	// Customers is sorted by name; SetCustomers sets it.
 	Customers []*Customer
+	// Unusable holds the listed routes that can't be used, in their order; setUnusable sets
+	// it.
+	Unusable []*ForwardRoute
+	// HidesRoutes is set if the host or the prefix of one of them is not known.
+	HidesRoutes bool
 	// UnusableCustomers counts the listed customers that were left out, AmbiguousKeys the
 	// keys that are held by several customers.
 	UnusableCustomers, AmbiguousKeys int
@@ -170,12 +185,68 @@
 		tb.hosts[host] = append(tb.hosts[host], fr)
 	}
 	slices.SortFunc(tb.Routes, func(a, b *ForwardRoute) int { return cmp.Compare(a.Name, b.Name) })
+	tb.sortHosts()
+	return tb, nil
+}
+
+// sortHosts orders the routes of each host by their prefixes, the longest first.
+func (tb *Table) sortHosts() {
 	for _, ordered := range tb.hosts {
 		slices.SortStableFunc(ordered, func(a, b *ForwardRoute) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
+}
+
+// Table returns a table of all that can be used of a listing, under a version. It takes
+// ownership of the routes.
+func (ls Listing) Table(version int64) (*Table, error) {
+	var usable, unusable []*ForwardRoute
+	for _, fr := range ls.Routes {
+		if err := fr.Validate(); err != nil && fr.Unusable == "" {
+			fr.Unusable = err.Error()
+		}
+		if fr.Unusable == "" {
+			usable = append(usable, fr)
+		} else {
+			unusable = append(unusable, fr)
+		}
+	}
+	services := slices.Clone(ls.Services)
+	for i := range services {
+		services[i].ConnectionLimit = max(services[i].ConnectionLimit, 0)
+	}
+	tb, err := NewTable(version, usable, services, ls.Limits)
+	if err != nil {
+		return nil, err
+	}
+	tb.setUnusable(unusable)
+	tb.SetCustomers(ls.Customers)
 	return tb, nil
 }
 
+// setUnusable adds routes that can't be used, so that no other route takes their requests.
+func (tb *Table) setUnusable(routes []*ForwardRoute) {
+	tb.Unusable = routes
+	for _, fr := range routes {
+		if fr.Host == "" || !fr.hasPrefix() {
+			tb.HidesRoutes = true
+			continue
+		}
+		host := strings.ToLower(fr.Host)
+		tb.hosts[host] = append(tb.hosts[host], fr)
+	}
+	tb.sortHosts()
+}
+
+// UnusableError returns an error that names a route that can't be used; nil if all can.
+func (tb *Table) UnusableError() error {
+	if len(tb.Unusable) == 0 {
+		return nil
+	}
+	return fmt.Errorf("%w: %d of %d, the first: %s", errUnusableRoutes, len(tb.Unusable), len(tb.Unusable)+len(tb.Routes), tb.Unusable[0].Unusable)
+}
+
+var errUnusableRoutes = errors.New("routes can't be used")
+
 // withoutRepeats returns names without those that occurred before.
 func withoutRepeats(names []string) []string {
 	seen := make(map[string]bool, len(names))
@@ -186,8 +257,8 @@
 	})
 }
 
-// Match returns the route of the host with the longest prefix of the path, or nil
-// if there is none. host may include a port. The path is compared as it was sent: an encoded
+// Match returns the route of the host with the longest prefix of the path, which may be
+// unusable, or nil if there is none. host may include a port. The path is compared as it was sent: an encoded
 // slash delimits nothing.
 func (tb *Table) Match(host, path string) *ForwardRoute {
 	// The colons of an IPv6 address stand inside brackets.
--- a/internal/world/view/fleet.go
+++ b/internal/world/view/fleet.go
@@ -400,5 +400,5 @@
 	}
 	dr.StoredTable = tb.Version
 	dr.setTable(tb)
-	return nil
+	return tb.UnusableError()
 }
