--- a/internal/query/forward/forward.go
+++ b/internal/query/forward/forward.go
@@ -62,6 +62,30 @@
 	Memory *quota.Lease
 }
 
+const (
+	// defaultBodyTime is the time in which the body of a call arrives whose route is not
+	// known.
+	defaultBodyTime = 10 * time.Second
+	// maxBodyTime bounds it whatever the call and its route allow, since a body holds memory
+	// while it arrives.
+	maxBodyTime = time.Minute
+)
+
+// BodyTime returns the time in which the body of a call must arrive, of which everything else
+// is known: no longer than the caller and the operator wait for the answer.
+func (sv *Service) BodyTime(cl *Call) time.Duration {
+	limit := defaultBodyTime
+	if tb := sv.Fleets.Load().Table; tb != nil {
+		if rt := tb.Match(cl.Message.Host, cl.Message.Path()); rt != nil && rt.Timeout > 0 {
+			limit = rt.Timeout
+		}
+	}
+	if cl.Deadline > 0 {
+		limit = min(limit, cl.Deadline)
+	}
+	return min(limit, maxBodyTime)
+}
+
 // Attempt is the message of one attempt to one server.
 type Attempt struct {
 	scatter.AttemptLimits
--- a/internal/query/forward/route_test.go
+++ b/internal/query/forward/route_test.go
@@ -43,3 +43,29 @@
 		})
 	}
 }
+
+// TestBodyTime guards against a body that holds memory for longer than anybody waits, or is
+// given up before.
+func TestBodyTime(t *testing.T) {
+	tests := []struct {
+		name, path              string
+		timeout, deadline, want time.Duration
+	}{
+		{"timeout of the route", "/save/1", 15 * time.Second, 0, 15 * time.Second},
+		{"deadline of the caller", "/save/1", 15 * time.Second, 12 * time.Second, 12 * time.Second},
+		{"longer deadline", "/save/1", 2 * time.Second, time.Hour, 2 * time.Second},
+		{"hours", "/save/1", time.Hour, time.Hour, time.Minute},
+		{"no route", "/other", time.Hour, 0, 10 * time.Second},
+		{"no route, deadline", "/other", time.Hour, time.Second, time.Second},
+	}
+	for _, tt := range tests {
+		sv, _ := newService(t, &fakeEngine{})
+		sv.Fleets.Load().Table.Match("plans.example", "/save/1").Timeout = tt.timeout
+		cl := newCall(tt.path, tt.deadline)
+		assert.Equal(t, sv.BodyTime(&cl), tt.want, tt.name)
+	}
+	sv, _ := newService(t, &fakeEngine{})
+	sv.Fleets.Update(func(view.Fleet) view.Fleet { return view.Fleet{} })
+	cl := newCall("/save/1", 0)
+	assert.Equal(t, sv.BodyTime(&cl), 10*time.Second, "no configuration")
+}
