Send a path that begins with two slashes as the caller wrote it

The opaque form of net/url, which keeps other such paths, can't begin with two slashes, so that these were encoded anew.

A codec may now set the target itself (RequestURI), which the connection writes in place of the one that net/http would.

--- a/internal/peer/backend/conn.go
+++ b/internal/peer/backend/conn.go
@@ -181,7 +181,7 @@
 	buffer := requestBuffers.Get().(*bytes.Buffer)
 	defer requestBuffers.Put(buffer)
 	buffer.Reset()
-	if err := rq.Write(buffer); err != nil {
+	if err := writeRequest(buffer, rq); err != nil {
 		return nil, fmt.Errorf("encode request: %w", err)
 	}
 	// Nothing that takes time may come between this check and the write.
@@ -212,6 +212,33 @@
 	return rs, err
 }
 
+// writeRequest encodes a request, with its RequestURI as target if that is set.
+func writeRequest(to *bytes.Buffer, rq *http.Request) error {
+	if rq.RequestURI == "" {
+		return rq.Write(to)
+	}
+	_, _ = fmt.Fprintf(to, "%s %s HTTP/1.1\r\n", rq.Method, rq.RequestURI)
+	return rq.Write(&restWriter{to: to})
+}
+
+// restWriter leaves out the first line of what it writes.
+type restWriter struct {
+	to      *bytes.Buffer
+	isBegun bool
+}
+
+// Write implements io.Writer.
+func (rw *restWriter) Write(part []byte) (int, error) {
+	rest := part
+	if !rw.isBegun {
+		if _, rest, rw.isBegun = bytes.Cut(part, []byte("\n")); !rw.isBegun {
+			return len(part), nil
+		}
+	}
+	_, _ = rw.to.Write(rest)
+	return len(part), nil
+}
+
 func (cn *conn) readAnswer(rq *http.Request) (*http.Response, error) {
 	cn.readable = maxHeadSize
 	for {
--- a/internal/peer/backend/exchange.go
+++ b/internal/peer/backend/exchange.go
@@ -61,6 +61,8 @@
 // Codec encodes messages as HTTP requests and decodes responses. Retries,
 // timeouts and connections are left to the Exchanger and its Client.
 type Codec[M Message, A any] interface {
+	// Encode returns the request for a message. If its RequestURI is set, that is sent as
+	// its target in place of the URL.
 	Encode(ctx context.Context, now time.Time, sv *machine.Server, message M) (*http.Request, error)
 	// Decode decodes an answer. For an answer that belongs to another message,
 	// the error has the cause contract.CauseMismatched.
