Take only config/main for the configuration

Any object of its kind was put in force if it was a configuration. One beside it with a higher version, such as a draft, would have replaced it for good, as versions never decrease: callers would have got its services and 404 for routes of config/main. Its removal made the store look as if it had no configuration.

Before: TestOtherObjectsAreNoTable failed (the draft was decoded). After: it passes, with the tests of internal/world/view.

--- a/internal/world/view/fleet.go
+++ b/internal/world/view/fleet.go
@@ -300,7 +300,9 @@
 
 // The key prefixes of the objects that make up a fleet.
 const (
-	PrefixTable        = "config/"
+	PrefixTable = "config/"
+	// KeyTable is the key of the configuration, the only one under its prefix.
+	KeyTable           = PrefixTable + "main"
 	PrefixFleetServers = "servers/"
 	// PrefixEvacuations is followed by the name of a zone. The content of the objects is
 	// not read.
@@ -364,6 +366,10 @@
 		}
 		dr.setEvacuated(now, name, !ob.Deleted)
 	case PrefixTable:
+		dr.TableRevision = max(dr.TableRevision, ob.Version)
+		if ob.Key != KeyTable {
+			return nil
+		}
 		err := dr.applyTable(codec, ob)
 		if isRestored {
 			dr.keepTable(now, codec, have)
@@ -389,7 +395,6 @@
 }
 
 func (dr *draft) applyTable(codec FleetCodec, ob Object) error {
-	dr.TableRevision = max(dr.TableRevision, ob.Version)
 	if ob.Deleted {
 		dr.StoredTable = 0
 		return nil
--- a/internal/world/view/fleet_test.go
+++ b/internal/world/view/fleet_test.go
@@ -388,3 +388,16 @@
 	assert.Equal(t, before.Servers["one"].State.WarmUpRate(), 8.0)
 	assert.Equal(t, after.Servers["one"].State.WarmUpRate(), 8.0)
 }
+
+// TestOtherObjectsAreNoTable guards against an object beside the configuration that is put in
+// force in its place, and for good if its version is higher.
+func TestOtherObjectsAreNoTable(t *testing.T) {
+	other := func(version int64, value string) Object {
+		return Object{Key: PrefixTable + "draft", Version: version, Value: value}
+	}
+	fl := mustApply(t, Fleet{}, start, other(1, "version 90"), Object{Key: KeyTable, Version: 2, Value: "version 5"}, other(3, "version 91"), other(4, "nothing"))
+	assert.Equal(t, fl.Table.Version, int64(5))
+	fl = mustApply(t, fl, start, Object{Key: PrefixTable + "draft", Version: 5, Deleted: true}, Object{Key: KeyTable, Version: 6, Value: "version 6"})
+	assert.Equal(t, fl.Table.Version, int64(6))
+	assert.Equal(t, fl.StoredTable, int64(6))
+}
--- a/internal/world/view/restore.go
+++ b/internal/world/view/restore.go
@@ -86,8 +86,10 @@
 		case PrefixEvacuations:
 			dr.holdEvacuation(name, mark.SeenAt.Add(RewriteTime))
 		case PrefixTable:
-			dr.StoredTable = 0
-			dr.keepTable(now, codec, ob)
+			if ob.Key == KeyTable {
+				dr.StoredTable = 0
+				dr.keepTable(now, codec, ob)
+			}
 		}
 	}
 }
