Put the newest record of a version in force

A configuration that was written again under the version in force was ignored, although config/main holds the newest one: routes that only the later record has got 404, or old services. A store that comes back from an older copy is written again, and an operator that numbers from the copy may give a version out a second time.

Of two records with the same version the one with the later revision is now in force. A lower version is ignored as before.

Before: TestNewestRecordOfVersionIsInForce failed. After: it passes, with the tests of internal/world/view, and those of platform/ about restores, keys and the spread of configurations.

--- a/internal/world/view/fleet.go
+++ b/internal/world/view/fleet.go
@@ -61,8 +61,8 @@
 	return fl.Services[service]
 }
 
-// WithTable returns a fleet with the table in force, unless the current one is at
-// least as new.
+// WithTable returns a fleet with the table in force, unless the version of the current one
+// is higher.
 func (fl Fleet) WithTable(tb *contract.Table) Fleet {
 	return fl.update(func(dr *draft) { dr.setTable(tb) })
 }
@@ -121,7 +121,7 @@
 
 // setTable implements WithTable. It also updates the limits of servers.
 func (dr *draft) setTable(tb *contract.Table) {
-	if dr.Table != nil && tb.Version <= dr.Table.Version {
+	if dr.Table != nil && tb.Version < dr.Table.Version {
 		return
 	}
 	dr.copyMaps()
--- a/internal/world/view/fleet_test.go
+++ b/internal/world/view/fleet_test.go
@@ -401,3 +401,16 @@
 	assert.Equal(t, fl.Table.Version, int64(6))
 	assert.Equal(t, fl.StoredTable, int64(6))
 }
+
+// TestNewestRecordOfVersionIsInForce guards against a table that stays in force although the
+// store has another one of that version, as after a restore.
+func TestNewestRecordOfVersionIsInForce(t *testing.T) {
+	table := func(version int64, value string) Object { return Object{Key: KeyTable, Version: version, Value: value} }
+	fl := mustApply(t, Fleet{}, start, table(2, "version 5"))
+	first := fl.Table
+	fl = mustApply(t, fl, start, table(3, "version 5"))
+	assert.Assert(t, fl.Table != first)
+	second := fl.Table
+	fl = mustApply(t, fl, start, table(4, "version 4"))
+	assert.Equal(t, fl.Table, second)
+}
