Skip empty lines in front of a request

Callers that end a body with a line end which is not part of it got 400 for their next request (DENIED): net/http takes the empty line for the first of a head, where RFC 9112, 2.2, asks servers to skip it. While such a request was answered, the empty line also hid the end of the connection, so that a request went on after its caller had left (GONE).

The reader in front of the server skips up to 16 bytes of empty lines, as it sees each head from its first byte.

--- a/internal/peer/callerhttp/head.go
+++ b/internal/peer/callerhttp/head.go
@@ -3,9 +3,11 @@
 import "bytes"
 
 // headScan finds the end of the head of a request as its bytes arrive: the first empty
-// line. An empty line in front of a request ends a head without lines, which the server
-// refuses or skips.
+// line. Empty lines in front of a request are skipped; beyond maxSkipped bytes they end a
+// head without lines, which the server refuses.
 type headScan struct {
+	// skipped counts the bytes of empty lines in front of the head.
+	skipped int
 	// size and lines count the bytes and lines so far. folded are the lines among them
 	// that continue the one before.
 	size, lines, folded int
@@ -43,6 +45,21 @@
 	return len(text), false
 }
 
+// maxSkipped bounds the empty lines in front of a head, of which some callers send one after
+// a body.
+const maxSkipped = 16
+
+// skip returns the number of bytes at the beginning of text that are empty lines in front of
+// the head.
+func (hs *headScan) skip(text []byte) int {
+	count := 0
+	for hs.size == 0 && count < len(text) && hs.skipped < maxSkipped && (text[count] == '\r' || text[count] == '\n') {
+		count++
+		hs.skipped++
+	}
+	return count
+}
+
 // add counts bytes of the current line.
 func (hs *headScan) add(part []byte) {
 	if len(part) == 0 {
--- a/internal/peer/callerhttp/meter.go
+++ b/internal/peer/callerhttp/meter.go
@@ -152,23 +152,49 @@
 // readAhead reads one byte while a request is being answered, by which the server sees
 // that its caller is gone.
 func (cn *conn) readAhead(to []byte) (int, error) {
-	if cn.taken == len(cn.buffer) {
+	for cn.taken == len(cn.buffer) {
 		count, err := cn.Conn.Read(to)
+		if cn.scan.skip(to[:count]) > 0 {
+			continue
+		}
 		cn.scan.feed(to[:count])
 		return count, err
 	}
 	if cn.scanned == cn.taken {
+		if cn.skipBuffered() {
+			return cn.readAhead(to)
+		}
 		cn.scan.feed(cn.buffer[cn.taken : cn.taken+1])
 		cn.scanned++
 	}
 	return cn.handOver(to, 1), nil
 }
 
+// skipBuffered skips empty lines at the beginning of the buffer, and reports whether there
+// were any and nothing else.
+func (cn *conn) skipBuffered() bool {
+	skipped := cn.scan.skip(cn.buffer[cn.scanned:])
+	cn.taken += skipped
+	cn.scanned += skipped
+	if skipped == 0 || cn.taken < len(cn.buffer) {
+		return false
+	}
+	cn.freeBuffer()
+	cn.heldSince.Store(0)
+	return true
+}
+
 // readHead reads until a head is whole and hands over the first bytes of it. Usually it
 // arrives at once and is not copied.
 func (cn *conn) readHead(to []byte) (int, error) {
 	if cn.taken == len(cn.buffer) {
 		count, err := cn.Conn.Read(to)
+		if skipped := cn.scan.skip(to[:count]); skipped > 0 {
+			count = copy(to, to[skipped:count])
+			if count == 0 && err == nil {
+				return cn.readHead(to)
+			}
+		}
 		if count == 0 {
 			return 0, err
 		}
@@ -205,6 +231,9 @@
 // awaitHead reads into the buffer until the head in it is whole.
 func (cn *conn) awaitHead(to []byte) (int, error) {
 	for {
+		if cn.skipBuffered() {
+			return cn.readHead(to)
+		}
 		part := cn.buffer[cn.scanned:]
 		end, ended := cn.scan.feed(part)
 		cn.scanned += end
