Keep the configuration in force if no route of the next can be used

Since a configuration of which no route can be used was in force, and all requests got 503. One in a form that this project can't read at all would have stopped all callers, where they were served by the previous one before.

Such a configuration is refused as a whole again. With that, TestOddConfigurations and TestObjectCodecDecodesTable demand again what they did before, except for a negative limit of connections.

--- a/internal/world/contract/table.go
+++ b/internal/world/contract/table.go
@@ -196,8 +196,8 @@
 	}
 }
 
-// Table returns a table of all that can be used of a listing, under a version. It takes
-// ownership of the routes.
+// Table returns a table of all that can be used of a listing, under a version, or an error
+// if none of its routes can. It takes ownership of the routes.
 func (ls Listing) Table(version int64) (*Table, error) {
 	var usable, unusable []*ForwardRoute
 	for _, fr := range ls.Routes {
@@ -210,6 +210,9 @@
 			unusable = append(unusable, fr)
 		}
 	}
+	if len(usable) == 0 && len(unusable) > 0 {
+		return nil, errors.New(unusable[0].Unusable)
+	}
 	services := slices.Clone(ls.Services)
 	for i := range services {
 		services[i].ConnectionLimit = max(services[i].ConnectionLimit, 0)
