Tell in log lines where the configuration came from and what the store answered

Callers were refused, or run by an old configuration, and no line of any entry VM told why: answer_refused named neither host nor path, and nothing told the era and revision of what was in force, who it came from, or whether the store still answered.

Objects are now applied with their origin (list, watch, stale list, or a peer with its name), and the fleet records that of the configuration with its version in the store and since when it is in force. Lines about requests that were not answered in full, and table_in_force, have these, and how the last call of the VM to the store ended. server_leaving also tells of records that say that a server drains, or that are gone; watch_late and watch_resumed are new; refused objects come with the versions of both sides, and each version of an unreadable configuration has a line of its own. A configuration of the store that is older than the one in force was ignored in silence; older_object_refused tells.

Requests answered in full cost no line and no allocation: the fields are made after the rate limit, from values that the call has read anyway.

--- a/internal/node/events/events.go
+++ b/internal/node/events/events.go
@@ -43,6 +43,8 @@
 	ZoneEvacuated       = Event{208, "zone_evacuated", zapcore.WarnLevel}
 	ZoneTakenBack       = Event{209, "zone_taken_back", zapcore.InfoLevel}
 	StoreRestored       = Event{210, "store_restored", zapcore.WarnLevel}
+	WatchLate           = Event{211, "watch_late", zapcore.WarnLevel}
+	WatchResumed        = Event{212, "watch_resumed", zapcore.InfoLevel}
 
 	PeerFailed          = Event{301, "peer_failed", zapcore.WarnLevel}
 	PeerJoined          = Event{302, "peer_joined", zapcore.InfoLevel}
@@ -79,7 +81,7 @@
 	return []Event{
 		Started, Leaving, Draining, Stopped, Paused, StopCutShort, SettingsReloaded, SettingsNotReloaded,
 		WatchFailed, OlderObjectRefused, BadObjectRefused, StaleStore, ReceiptsDropped, ReceiptsWriteFailed, ClaimsSwept,
-		ZoneEvacuated, ZoneTakenBack, StoreRestored,
+		ZoneEvacuated, ZoneTakenBack, StoreRestored, WatchLate, WatchResumed,
 		PeerFailed, PeerJoined, PeerSilent, Isolated, Confirmed, PulledFromPeer, RosterChanged, RosterFailed,
 		ServerLeaving, ServerLostToRequest, Quarantined, LibraryMessage, ServerBackOff, ServersCold,
 		AnswerPartial, AnswerRefused, AnswerUnknown, AnswerWhole, OverLimit, CallersRefused,
--- a/internal/node/forwardvm/observer.go
+++ b/internal/node/forwardvm/observer.go
@@ -37,6 +37,15 @@
 	return &rateLimitedEvent{event: event, limiter: rate.NewLimiter(rate.Limit(perSecond), burst)}
 }
 
+// log writes the event, unless its rate is exceeded.
+func (rl *rateLimitedEvent) log(now time.Time, log *zap.Logger, fields ...zap.Field) {
+	if !rl.limiter.AllowN(now, 1) {
+		rl.suppressed.Add(1)
+		return
+	}
+	rl.event.Log(log, append(fields, zap.Int64("left_out", rl.suppressed.Swap(0)))...)
+}
+
 // callMetrics holds the metrics of the calls with the same labels.
 type callMetrics struct {
 	latency tally.Histogram
@@ -56,6 +65,8 @@
 type observer struct {
 	log   *zap.Logger
 	scope tally.Scope
+	// context adds the state of the configuration and the store to lines.
+	context *logContext
 
 	partial, refused, unknown, whole *rateLimitedEvent
 	// calls maps each callLabels to its *callMetrics.
@@ -69,9 +80,9 @@
 	code    contract.Code
 }
 
-func newObserver(log *zap.Logger, scope tally.Scope) *observer {
+func newObserver(log *zap.Logger, scope tally.Scope, context *logContext) *observer {
 	return &observer{
-		log: log, scope: scope,
+		log: log, scope: scope, context: context,
 		partial: newRateLimitedEvent(events.AnswerPartial, failedLogRate, failedLogBurst),
 		refused: newRateLimitedEvent(events.AnswerRefused, failedLogRate, failedLogBurst),
 		unknown: newRateLimitedEvent(events.AnswerUnknown, failedLogRate, failedLogBurst),
@@ -95,7 +106,7 @@
 		rl.suppressed.Add(1)
 		return
 	}
-	rl.event.Log(ob.log,
+	fields := []zap.Field{
 		zap.String("request_id", rc.ID), zap.String("route", rc.Route), zap.String("customer", rc.Customer), zap.Int64("table_version", rc.TableVersion),
 		zap.Duration("table_age", rc.Age), zap.Duration("took", rc.Took),
 		zap.Duration("round_trip", rc.RoundTrip),
@@ -104,7 +115,8 @@
 		zap.Int("hedges", rc.Hedges), zap.Int("retries", rc.Retries), zap.String("missed", formatFailedAttempts(rc)),
 		zap.Bool("held_back", rc.HeldBack), zap.Duration("expected_work", rc.ExpectedWork), zap.Duration("actual_work", rc.ActualWork),
 		zap.Int64("left_out", rl.suppressed.Swap(0)),
-	)
+	}
+	rl.event.Log(ob.log, append(fields, ob.context.requestFields(now, rc)...)...)
 }
 
 // formatFailedAttempts returns the failed attempts as shard/server:cause, and
--- a/internal/node/forwardvm/process.go
+++ b/internal/node/forwardvm/process.go
@@ -168,6 +168,10 @@
 	// storeRestores counts the rises of the store's era.
 	storeRestores         atomic.Int64
 	backOffLogs, lostLogs *rate.Limiter
+	// olderLogs and leavingLogs limit the lines about older objects, and about records of
+	// servers that leave.
+	olderLogs, leavingLogs *rateLimitedEvent
+	logContext             *logContext
 	// guard bounds what callers on all addresses occupy together.
 	guard *callerhttp.Guard
 	// callerListener accepts the callers' connections.
@@ -193,6 +197,8 @@
 		startedAt:    now,
 		backOffLogs:  rate.NewLimiter(failedLogRate, failedLogBurst),
 		lostLogs:     rate.NewLimiter(failedLogRate, failedLogBurst),
+		olderLogs:    newRateLimitedEvent(events.OlderObjectRefused, failedLogRate, failedLogBurst),
+		leavingLogs:  newRateLimitedEvent(events.ServerLeaving, failedLogRate, failedLogBurst),
 	}
 	ps.build(now, fe)
 	if err := ps.listen(fe); err != nil {
@@ -240,9 +246,7 @@
 	transport := &entry.GRPCTransport{Dial: dial}
 	ps.group.Cleanup(transport.Close)
 	ps.unreadable = fe.Unreadable
-	ps.unreadable.OnNew = func(entry platform.UnreadableEntry) {
-		events.BadObjectRefused.Log(ps.Log, zap.String("error", entry.Problem))
-	}
+	ps.unreadable.OnNew = ps.logUnreadable
 	ps.target = &fleetTarget{process: ps, codec: fe.Codec}
 	prefixes := []string{view.PrefixTable, view.PrefixFleetServers}
 	pacing := platform.WatchPacing{MaxWait: ps.watchWait, KeepsHistory: ps.isStrictTable, Pause: watchBatchDelay}
@@ -255,6 +259,7 @@
 	}
 	ps.watcher = platform.NewWatcher(fe.Store, prefixes, ps.target, pacing, ps.Log)
 	ps.watcher.OnCall = ps.onStoreCall
+	ps.logContext = &logContext{answers: ps.watcher.Answers, watches: ps.watcher.IsActive, sinceBoot: bootclock.Now}
 	ps.eras = fe.Eras
 	ps.eras.OnRise = ps.onStoreRestored
 	ps.Cluster = &entry.Cluster{
@@ -284,7 +289,7 @@
 		Limits:   ps.rates.limits(),
 		Memory:   quota.NewPool(cg.MessageMemory()),
 		Budgets:  forward.NewBudgets(now, cg.Retries, len(cg.Peers)+1),
-		Observer: newObserver(ps.Log, ps.Metrics.Scope),
+		Observer: newObserver(ps.Log, ps.Metrics.Scope, ps.logContext),
 	}
 }
 
@@ -319,7 +324,7 @@
 // onDeparture logs that a server said in an answer that it is leaving, and tells
 // the peers without waiting for the next heartbeat.
 func (ps *Process) onDeparture(now time.Time, sv *machine.Server) {
-	events.ServerLeaving.Log(ps.Log, zap.String("server", sv.Name), zap.String("source", "answer"))
+	events.ServerLeaving.Log(ps.Log, zap.String("server", sv.Name), zap.String("source", "answer"), zap.String("said_by", "server"))
 	ps.departures.Add(1)
 	ps.Cluster.ReportDeparture(now, machine.Departure{Server: sv.Name, StartedAt: sv.StartedAt})
 }
@@ -327,7 +332,7 @@
 // onPeerDeparture stops the use of a server that said to a peer that it is
 // leaving.
 func (ps *Process) onPeerDeparture(now time.Time, dp machine.Departure) {
-	events.ServerLeaving.Log(ps.Log, zap.String("server", dp.Server), zap.String("source", "peer"))
+	events.ServerLeaving.Log(ps.Log, zap.String("server", dp.Server), zap.String("source", "peer"), zap.String("said_by", "server"))
 	ps.departures.Add(1)
 	ps.Fleets.Update(func(fl view.Fleet) view.Fleet { return fl.WithDeparture(now, dp) })
 }
--- a/internal/node/forwardvm/state.go
+++ b/internal/node/forwardvm/state.go
@@ -48,6 +48,10 @@
 	Version      int64  `json:"version"`
 	Digest       uint64 `json:"digest"`
 	TableVersion int64  `json:"table_version"`
+	// TableRecord tells where the configuration in force came from, and StoreCalls what the
+	// store answered to this VM.
+	TableRecord TableState     `json:"table"`
+	StoreCalls  StoreCallState `json:"store"`
 	// Evacuated holds the zones whose servers get no work.
 	Evacuated []string `json:"evacuated_zones"`
 	// Customers holds the customers in force, without their keys.
@@ -65,6 +69,29 @@
 	Rates      RatesState                 `json:"rates"`
 }
 
+// TableState describes where the configuration in force came from.
+type TableState struct {
+	// Era and Revision are those of its newest object in the store. StoredRevision is that of
+	// the newest configuration that this VM knows of, and StoredVersion what the store has.
+	Era            int64         `json:"era"`
+	Revision       int64         `json:"revision"`
+	StoredRevision int64         `json:"stored_revision"`
+	StoredVersion  int64         `json:"stored_version"`
+	Source         view.Source   `json:"source"`
+	Peer           string        `json:"peer,omitempty"`
+	InForceFor     time.Duration `json:"in_force_for_ns"`
+}
+
+// StoreCallState describes how the last calls to the store ended.
+type StoreCallState struct {
+	Answer string `json:"answer"`
+	// AnswerAt is when the last call ended, OKAt when one was last answered.
+	AnswerAt time.Time `json:"answer_at,omitzero"`
+	OKAt     time.Time `json:"ok_at,omitzero"`
+	// Active is set while this VM calls the store, whether or not it is answered.
+	Active bool `json:"active"`
+}
+
 // ServerState describes one server as this process sees it.
 type ServerState struct {
 	*machine.Server
@@ -108,6 +135,7 @@
 	if fl.Table != nil {
 		st.TableVersion, st.Routes, st.Customers = fl.Table.Version, fl.Table.Routes, fl.Table.Customers
 	}
+	st.TableRecord, st.StoreCalls = tableState(now, fl), ps.storeCallState()
 	if age := ps.Freshness.AsOf().Age(bootclock.Now()); age != view.NeverConfirmed {
 		st.TableAge = &age
 	}
@@ -126,6 +154,35 @@
 	return st
 }
 
+// tableState returns where the configuration in force in a fleet came from.
+func tableState(now time.Time, fl *view.Fleet) TableState {
+	record, origin := fl.TableRecord, fl.TableOrigin()
+	ts := TableState{
+		Era: view.EraOf(record.Version), Revision: view.RevisionOf(record.Version), StoredRevision: view.RevisionOf(fl.TableRevision),
+		StoredVersion: fl.StoredTable, Source: origin.Source, Peer: origin.Peer,
+	}
+	if fl.Table != nil {
+		ts.InForceFor = now.Sub(record.Since)
+	}
+	return ts
+}
+
+// storeCallState returns how the last calls to the store ended.
+func (ps *Process) storeCallState() StoreCallState {
+	history := ps.watcher.Answers.Load()
+	return StoreCallState{Answer: history.Last.String(), AnswerAt: history.Last.At, OKAt: history.OKAt, Active: ps.watcher.IsActive()}
+}
+
+// storeAnswerAge returns the time since the store last answered a call of this VM, or since
+// the start if it never did.
+func (ps *Process) storeAnswerAge(now time.Time) time.Duration {
+	okAt := ps.watcher.Answers.Load().OKAt
+	if okAt.IsZero() {
+		okAt = ps.startedAt
+	}
+	return max(now.Sub(okAt), 0)
+}
+
 // timeOf returns a time in Unix nanoseconds, the zero time for 0.
 func timeOf(value *atomic.Int64) time.Time {
 	if nanos := value.Load(); nanos != 0 {
@@ -165,25 +222,28 @@
 	}
 	ps.rates.publishGauges(ps.Metrics)
 	ps.Metrics.SetGauges(map[string]float64{
-		"forward_table_version":     float64(version),
-		"forward_word_age_seconds":  now.Sub(ps.Cluster.ConfirmedAt()).Seconds(),
-		"forward_table_age_seconds": ps.Freshness.AsOf().Age(bootclock.Now()).Seconds(),
-		"forward_keys_stale":        boolGauge(ps.keysAreStale()),
-		"forward_servers":           float64(len(fl.Servers)),
-		"forward_cold_servers":      float64(cold),
-		"forward_cold_withheld":     float64(withheld),
-		"forward_evacuated_zones":   float64(len(fl.Evacuated)),
-		"forward_entry_vms":         float64(ps.countLiveEntryVMs(now)),
-		"forward_links":             float64(open),
-		"forward_load":              float64(ps.load.Load()),
-		"forward_mismatched":        float64(ps.Backend.Mismatches.Load()),
-		"forward_extra_refused":     float64(ps.Service.Budgets.DeniedCount()),
-		"forward_server_departures": float64(ps.departures.Load()),
-		"forward_server_back_offs":  float64(ps.backOffs.Load()),
-		"forward_unreadable":        float64(ps.unreadable.Total.Load()),
-		"forward_store_era":         float64(view.EraOf(fl.Version)),
-		"forward_store_restores":    float64(ps.storeRestores.Load()),
-		"forward_log_lines_dropped": float64(ps.droppedLines()),
+		"forward_table_version":            float64(version),
+		"forward_table_revision":           float64(view.RevisionOf(fl.TableRecord.Version)),
+		"forward_table_in_force_seconds":   tableState(now, fl).InForceFor.Seconds(),
+		"forward_store_answer_age_seconds": ps.storeAnswerAge(now).Seconds(),
+		"forward_word_age_seconds":         now.Sub(ps.Cluster.ConfirmedAt()).Seconds(),
+		"forward_table_age_seconds":        ps.Freshness.AsOf().Age(bootclock.Now()).Seconds(),
+		"forward_keys_stale":               boolGauge(ps.keysAreStale()),
+		"forward_servers":                  float64(len(fl.Servers)),
+		"forward_cold_servers":             float64(cold),
+		"forward_cold_withheld":            float64(withheld),
+		"forward_evacuated_zones":          float64(len(fl.Evacuated)),
+		"forward_entry_vms":                float64(ps.countLiveEntryVMs(now)),
+		"forward_links":                    float64(open),
+		"forward_load":                     float64(ps.load.Load()),
+		"forward_mismatched":               float64(ps.Backend.Mismatches.Load()),
+		"forward_extra_refused":            float64(ps.Service.Budgets.DeniedCount()),
+		"forward_server_departures":        float64(ps.departures.Load()),
+		"forward_server_back_offs":         float64(ps.backOffs.Load()),
+		"forward_unreadable":               float64(ps.unreadable.Total.Load()),
+		"forward_store_era":                float64(view.EraOf(fl.Version)),
+		"forward_store_restores":           float64(ps.storeRestores.Load()),
+		"forward_log_lines_dropped":        float64(ps.droppedLines()),
 
 		"forward_callers_leased_bytes":                 float64(ps.guard.Leased()),
 		"forward_callers_connections":                  float64(ps.guard.Connections()),
--- a/internal/node/forwardvm/upkeep.go
+++ b/internal/node/forwardvm/upkeep.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -29,38 +28,31 @@
 
 // Apply implements platform.Target and entry.Replica. Objects that can't be
 // decoded are logged and left out.
-func (ft *fleetTarget) Apply(now time.Time, objects []view.Object) {
+func (ft *fleetTarget) Apply(now time.Time, origin view.Origin, objects []view.Object) (changed int64) {
 	if len(objects) == 0 {
-		return
+		return 0
 	}
 	ps := ft.process
 	removalDelay := min(ps.settings.Load().DrainFor-removalMargin, maxRemovalDelay)
+	newestAge := ps.Freshness.AsOf().Age(bootclock.Now())
 	var refused []error
-	before := ps.Fleets.Load()
+	var before view.Fleet
 	after := ps.Fleets.Update(func(fl view.Fleet) view.Fleet {
-		fl, refused = fl.Apply(now, removalDelay, ft.codec, objects)
+		before = fl
+		fl, refused = fl.Apply(now, origin, removalDelay, ft.codec, objects)
 		return fl
 	})
-	for _, err := range refused {
-		if errors.Is(err, view.ErrOlderVersion) {
-			events.OlderObjectRefused.Log(ps.Log, zap.Error(err))
-			continue
-		}
-		ps.unreadable.Record(now, err.Error())
-	}
 	// A peer may know of a restore that this process has not seen yet.
 	ps.eras.Observe(view.EraOf(after.Version))
 	if after.Digest != before.Digest {
 		ps.Cluster.TriggerRound()
 	}
-	ps.logEvacuations(before.Evacuated, after.Evacuated)
 	if after.Table != before.Table {
 		ps.rates.share.SetVersion(after.Table.Version)
 		ps.guard.SetLimits(headLimits(after.Table))
-		events.TableInForce.Log(ps.Log, zap.Int64("version", after.Table.Version), zap.Int("routes", len(after.Table.Routes)),
-			zap.Int("customers", len(after.Table.Customers)), zap.Int("unusable_customers", after.Table.UnusableCustomers),
-			zap.Int("ambiguous_keys", after.Table.AmbiguousKeys))
 	}
+	ps.logObjects(now, origin, newestAge, &before, after, objects, refused)
+	return after.Changes - before.Changes
 }
 
 // logEvacuations logs the zones of which an evacuation began or ended.
--- a/internal/peer/entry/cluster.go
+++ b/internal/peer/entry/cluster.go
@@ -74,8 +74,8 @@
 type Replica interface {
 	// Current returns the current copy.
 	Current() *view.Copy
-	// Apply applies objects to the copy.
-	Apply(now time.Time, objects []view.Object)
+	// Apply applies objects to the copy, and returns how many changed it.
+	Apply(now time.Time, origin view.Origin, objects []view.Object) (changed int64)
 }
 
 // Member is an entry VM with the state from its last direct reply.
--- a/internal/peer/entry/deletions_test.go
+++ b/internal/peer/entry/deletions_test.go
@@ -32,11 +32,13 @@
 
 func (fr fleetReplica) Current() *view.Copy { return &fr.fleets.Load().Copy }
 
-func (fr fleetReplica) Apply(now time.Time, objects []view.Object) {
+func (fr fleetReplica) Apply(now time.Time, origin view.Origin, objects []view.Object) int64 {
+	before := fr.Current().Changes
 	fr.fleets.Update(func(fl view.Fleet) view.Fleet {
-		fl, _ = fl.Apply(now, removalDelay, anyServerCodec{}, objects)
+		fl, _ = fl.Apply(now, origin, removalDelay, anyServerCodec{}, objects)
 		return fl
 	})
+	return fr.Current().Changes - before
 }
 
 // TestPulledDeletionIsAsOldAsAtThePeer lets the record of a server disappear, and the
@@ -53,10 +55,10 @@
 	}
 	record := view.Object{Key: view.PrefixFleetServers + "a", Version: 1, Value: "{}"}
 	for _, fr := range fleets {
-		fr.Apply(time.Now(), []view.Object{record})
+		fr.Apply(time.Now(), view.Origin{}, []view.Object{record})
 	}
 	seenAt := time.Now()
-	fleets[0].Apply(seenAt, []view.Object{{Key: record.Key, Version: 2, Deleted: true}})
+	fleets[0].Apply(seenAt, view.Origin{}, []view.Object{{Key: record.Key, Version: 2, Deleted: true}})
 	for i := 1; i < len(all); i++ {
 		time.Sleep(lag)
 		all[i].exchange(t.Context(), all[i-1].Self.EntryAddress)
--- a/internal/peer/entry/roster.go
+++ b/internal/peer/entry/roster.go
@@ -108,7 +108,7 @@
 	if err != nil {
 		return
 	}
-	ls.Cluster.Replica.Apply(time.Now(), []view.Object{{Key: view.KeyRoster, Version: roster.Revision, Value: string(text)}})
+	ls.Cluster.Replica.Apply(time.Now(), view.Origin{Source: view.SourceList}, []view.Object{{Key: view.KeyRoster, Version: roster.Revision, Value: string(text)}})
 }
 
 // learnRoster takes over the roster from the copy if a peer has passed on a newer one.
--- a/internal/peer/entry/sync.go
+++ b/internal/peer/entry/sync.go
@@ -73,7 +73,8 @@
 		return false
 	}
 	before := cr.Replica.Current().Digest
-	cr.Replica.Apply(time.Now(), cr.Replica.Current().Newer(decodeObjects(sentAt, pulled.Objects)))
+	origin := view.Origin{Source: view.SourcePeer, Peer: reply.GetSender().GetName()}
+	cr.Replica.Apply(time.Now(), origin, cr.Replica.Current().Newer(decodeObjects(sentAt, pulled.Objects)))
 	digest := cr.Replica.Current().Digest
 	if digest != before {
 		events.PulledFromPeer.Log(cr.Log, zap.String("peer", reply.GetSender().GetName()), zap.Int64("version", view.RevisionOf(pulled.Version)))
--- a/internal/peer/platform/restore_test.go
+++ b/internal/peer/platform/restore_test.go
@@ -163,10 +163,12 @@
 	vw   view.View
 }
 
-func (ct *copyTarget) Apply(_ time.Time, objects []view.Object) {
+func (ct *copyTarget) Apply(_ time.Time, _ view.Origin, objects []view.Object) int64 {
 	ct.lock.Lock()
 	defer ct.lock.Unlock()
+	before := ct.vw.Changes
 	ct.vw = ct.vw.ApplyAll(objects, func(view.Object, error) {})
+	return ct.vw.Changes - before
 }
 
 func (ct *copyTarget) KeysOlderThan(prefix string, version int64) []string {
--- a/internal/peer/platform/unreadable.go
+++ b/internal/peer/platform/unreadable.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"daisystage.example/daisystage/internal/container/rcu"
+	"daisystage.example/daisystage/internal/world/view"
 )
 
 // maxUnreadable is the number of distinct unreadable entries that are kept and
@@ -17,6 +18,12 @@
 	// Problem names the entry and says why it can't be used.
 	Problem   string    `json:"problem"`
 	FirstSeen time.Time `json:"first_seen"`
+	// Object is the entry, without its value; its key and version are unset if they can't
+	// be read. Origin is where it came from.
+	Object view.Object `json:"-"`
+	Origin view.Origin `json:"-"`
+	// TableVersion is the version of a configuration; 0 for others, and if it can't be read.
+	TableVersion int64 `json:"table_version,omitempty"`
 }
 
 // Unreadable collects the entries of the platform that can't be used, each once.
@@ -42,13 +49,16 @@
 	return *ur.entries.Load()
 }
 
-// Record adds an entry, unless it is known or there are too many.
-func (ur *Unreadable) Record(now time.Time, problem string) {
+// Record adds an entry, unless it is known or there are too many. Entries with the same
+// problem are one, unless they are configurations with different versions.
+func (ur *Unreadable) Record(now time.Time, entry UnreadableEntry) {
 	ur.Total.Add(1)
-	entry := UnreadableEntry{Problem: problem, FirstSeen: now}
+	entry.FirstSeen, entry.Object.Value = now, ""
 	added := false
 	ur.entries.Update(func(old []UnreadableEntry) []UnreadableEntry {
-		known := func(other UnreadableEntry) bool { return other.Problem == problem }
+		known := func(other UnreadableEntry) bool {
+			return other.Problem == entry.Problem && other.TableVersion == entry.TableVersion
+		}
 		added = len(old) < maxUnreadable && !slices.ContainsFunc(old, known)
 		if !added {
 			return old
--- a/internal/peer/platform/viewtarget.go
+++ b/internal/peer/platform/viewtarget.go
@@ -19,8 +19,16 @@
 }
 
 // Apply implements Target and entry.Replica.
-func (vt ViewTarget) Apply(_ time.Time, objects []view.Object) {
-	ApplyToView(vt.Views, vt.Log, objects)
+func (vt ViewTarget) Apply(_ time.Time, origin view.Origin, objects []view.Object) (changed int64) {
+	if len(objects) == 0 {
+		return 0
+	}
+	vt.Views.Update(func(vw view.View) view.View {
+		next := vw.ApplyAll(objects, func(ob view.Object, err error) { logRefused(vt.Log, origin, ob, err) })
+		changed = next.Changes - vw.Changes
+		return next
+	})
+	return changed
 }
 
 // Current implements entry.Replica.
@@ -38,21 +46,10 @@
 	vt.Confirmation.Confirm(asOf)
 }
 
-// ApplyToView applies objects to the published view and logs those that it
-// refuses.
-func ApplyToView(views *rcu.Value[view.View], log *zap.Logger, objects []view.Object) {
-	if len(objects) == 0 {
-		return
-	}
-	views.Update(func(vw view.View) view.View {
-		return vw.ApplyAll(objects, func(ob view.Object, err error) { logRefused(log, ob, err) })
-	})
-}
-
-func logRefused(log *zap.Logger, ob view.Object, err error) {
+func logRefused(log *zap.Logger, origin view.Origin, ob view.Object, err error) {
+	event := events.BadObjectRefused
 	if errors.Is(err, view.ErrOlderVersion) {
-		events.OlderObjectRefused.Log(log, zap.String("key", ob.Key), zap.Int64("version", view.RevisionOf(ob.Version)), zap.Int64("era", view.EraOf(ob.Version)), zap.Error(err))
-		return
+		event = events.OlderObjectRefused
 	}
-	events.BadObjectRefused.Log(log, zap.String("key", ob.Key), zap.Int64("version", view.RevisionOf(ob.Version)), zap.Int64("era", view.EraOf(ob.Version)), zap.Error(err))
+	event.Log(log, RefusedFields(origin, ob, err)...)
 }
--- a/internal/peer/platform/watcher.go
+++ b/internal/peer/platform/watcher.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -39,8 +40,8 @@
 
 // Target receives the objects and confirmations of a Watcher.
 type Target interface {
-	// Apply applies objects to the target.
-	Apply(now time.Time, objects []view.Object)
+	// Apply applies objects to the target, and returns how many changed it.
+	Apply(now time.Time, origin view.Origin, objects []view.Object) (changed int64)
 	// KeysOlderThan returns the keys under a prefix whose objects are older than a
 	// version. An object that a list at that version lacks was deleted.
 	KeysOlderThan(prefix string, version int64) []string
@@ -96,8 +97,15 @@
 	// applied, unless the platform is known to have had a newer state before the call.
 	// Both may be nil.
 	OnCall func(prefix string) (answered func(version int64))
+	// Answers records how the calls end.
+	Answers *LastAnswer
+
+	// calls is set while the watcher is active.
+	calls atomic.Bool
 
 	lock sync.Mutex
+	// failedSince holds when the first call for each prefix failed since the last answer.
+	failedSince map[string]time.Time
 	// confirmedAt is when the last answered call for each prefix was sent.
 	confirmedAt map[string]time.Time
 	// newest is the highest version in an answer for each prefix.
@@ -129,11 +137,13 @@
 		Store: store, Prefixes: prefixes, Target: target, Pacing: pacing, Log: log,
 		confirmedAt: map[string]time.Time{}, newest: map[string]int64{}, slow: map[string]bool{}, refresh: map[string]chan struct{}{},
 		active: make(chan struct{}), listed: map[string]int64{}, leadListed: make(chan struct{}), eras: &Eras{},
+		Answers: &LastAnswer{}, failedSince: map[string]time.Time{},
 	}
 	if source, ok := store.(EraSource); ok {
 		wt.eras = source.Eras()
 	}
 	close(wt.active)
+	wt.calls.Store(true)
 	for _, prefix := range prefixes {
 		wt.refresh[prefix] = make(chan struct{}, 1)
 	}
@@ -148,6 +158,7 @@
 	if active == wt.isActive() {
 		return
 	}
+	wt.calls.Store(active)
 	if active {
 		close(wt.active)
 		return
@@ -379,14 +390,14 @@
 // listStale applies a list that may be old. It confirms nothing and takes nothing
 // for deleted; the watch that follows brings what has changed since.
 func (wt *Watcher) listStale(ctx context.Context, store StaleLister, prefix string) (int64, error) {
-	objects, version, err := store.ListStale(ctx, prefix)
+	objects, version, err := wt.listFrom(ctx, store, prefix)
 	if err != nil {
 		return 0, err
 	}
 	if !wt.eras.Observe(view.EraOf(version)) {
 		return 0, fmt.Errorf("list %s: %w", prefix, ErrOldEra)
 	}
-	wt.Target.Apply(time.Now(), objects)
+	wt.apply(prefix, view.Origin{Source: view.SourceStaleList}, objects)
 	// A short watch confirms the list soon.
 	wt.setSlow(prefix, true)
 	return version, nil
@@ -397,7 +408,7 @@
 func (wt *Watcher) step(ctx context.Context, prefix string, from int64) (int64, error) {
 	startedAt, answered := time.Now(), wt.beginCall(prefix)
 	if from < 0 {
-		objects, version, err := wt.Store.List(ctx, prefix)
+		objects, version, err := wt.list(ctx, prefix)
 		if err != nil {
 			return 0, err
 		}
@@ -409,7 +420,7 @@
 		if mark, ok := view.NewEraMark(prefix, era); ok {
 			objects = append(objects, mark)
 		}
-		wt.Target.Apply(time.Now(), objects)
+		wt.apply(prefix, view.Origin{Source: view.SourceList}, objects)
 		wt.confirm(prefix, startedAt, era)
 		answered(version)
 		return version, nil
@@ -418,7 +429,7 @@
 	if wt.isSlow(prefix) {
 		wait = min(wait, slowWatchWait)
 	}
-	objects, next, err := wt.Store.Watch(ctx, prefix, from, wait)
+	objects, next, err := wt.watch(ctx, prefix, from, wait)
 	if err != nil {
 		return 0, err
 	}
@@ -432,7 +443,7 @@
 		events.StaleStore.Log(wt.Log, zap.String("prefix", prefix), zap.Int64("version", next), zap.Int64("known", from))
 		return from, nil
 	}
-	wt.Target.Apply(time.Now(), objects)
+	wt.apply(prefix, view.Origin{Source: view.SourceWatch}, objects)
 	wt.confirm(prefix, startedAt, view.EraOf(next))
 	answered(next)
 	if len(objects) == 0 && wt.Pacing.KeepsHistory != nil && wt.Pacing.KeepsHistory(prefix) && time.Since(startedAt) >= wait {
--- a/internal/peer/platform/watcher_test.go
+++ b/internal/peer/platform/watcher_test.go
@@ -71,12 +71,13 @@
 	versions map[string]int64
 }
 
-func (rt *recordingTarget) Apply(_ time.Time, objects []view.Object) {
+func (rt *recordingTarget) Apply(_ time.Time, _ view.Origin, objects []view.Object) int64 {
 	rt.lock.Lock()
 	defer rt.lock.Unlock()
 	for _, ob := range objects {
 		rt.versions[ob.Key] = ob.Version
 	}
+	return int64(len(objects))
 }
 
 func (rt *recordingTarget) KeysOlderThan(string, int64) []string { return nil }
@@ -215,8 +216,9 @@
 // countingTarget is a Target that counts the objects applied.
 type countingTarget struct{ applied atomic.Int64 }
 
-func (ct *countingTarget) Apply(_ time.Time, objects []view.Object) {
+func (ct *countingTarget) Apply(_ time.Time, _ view.Origin, objects []view.Object) int64 {
 	ct.applied.Add(int64(len(objects)))
+	return int64(len(objects))
 }
 
 func (*countingTarget) KeysOlderThan(string, int64) []string { return nil }
--- a/internal/query/forward/forward.go
+++ b/internal/query/forward/forward.go
@@ -103,8 +103,17 @@
 	ID    string
 	Route string
 	// Customer is the name of the customer; empty if none was found.
-	Customer     string
+	Customer string
+	// Host and Path are those of the message, Path without the query.
+	Host, Path string
+	// Services are those that the call was sent to or would have been; empty if it was
+	// refused before they were chosen. It must not be changed.
+	Services     []string
 	TableVersion int64
+	// Fleet is what the call ran under, and TableAsOf the confirmation of its
+	// configuration.
+	Fleet     *view.Fleet
+	TableAsOf view.AsOf
 	// Age is the time since the platform last confirmed the configuration.
 	Age time.Duration
 	// RoundTrip is that of the call.
@@ -224,6 +233,8 @@
 func (sv *Service) Run(ctx context.Context, now time.Time, cl Call) (*Reply, error) {
 	rn := &run{call: cl, started: now, record: &CallRecord{ID: cl.Message.ID, RoundTrip: cl.RoundTrip}}
 	rn.keysAsOf, rn.fleet = sv.keysAndFleet()
+	rn.record.Host, rn.record.Path = rn.call.Message.Host, rn.call.Message.Path()
+	rn.record.Fleet, rn.record.TableAsOf = rn.fleet, rn.keysAsOf
 	reply, err := sv.answer(ctx, now, rn)
 	sv.finish(time.Now(), rn, reply, err)
 	return reply, err
@@ -276,7 +287,7 @@
 	rn.record.TableVersion = tb.Version
 	// A confirmation may arrive after now was read.
 	rn.record.Age = max(now.Sub(sv.ConfirmedAt()), 0)
-	rn.route = tb.Match(rn.call.Message.Host, rn.call.Message.Path())
+	rn.route = tb.Match(rn.record.Host, rn.record.Path)
 	if rn.route == nil {
 		return contract.NewRefusal(contract.Invalid, contract.CodeNoRoute, "no route has this host and path")
 	}
@@ -323,6 +334,7 @@
 // request in the budget of each service.
 func (sv *Service) newJob(now time.Time, rn *run, fingerprint uint64, services []string) *scatter.Job[Attempt] {
 	rt := rn.route
+	rn.record.Services = services
 	jb := &scatter.Job[Attempt]{
 		Fingerprint: fingerprint,
 		Settings: scatter.JobSettings{
--- a/internal/world/view/bench_test.go
+++ b/internal/world/view/bench_test.go
@@ -112,7 +112,7 @@
 		}
 		b.Run(fmt.Sprintf("at once, servers=%d", count), func(b *testing.B) {
 			for b.Loop() {
-				fl, refused := Fleet{}.Apply(time.Now(), 0, plainCodec{}, objects)
+				fl, refused := Fleet{}.Apply(time.Now(), Origin{}, 0, plainCodec{}, objects)
 				assert.Equal(b, len(refused)+len(fl.Servers), count)
 			}
 		})
@@ -123,7 +123,7 @@
 			for b.Loop() {
 				fl := Fleet{}
 				for i := range objects {
-					fl, _ = fl.Apply(time.Now(), 0, plainCodec{}, objects[i:i+1])
+					fl, _ = fl.Apply(time.Now(), Origin{}, 0, plainCodec{}, objects[i:i+1])
 				}
 				assert.Equal(b, len(fl.Servers), count)
 			}
@@ -141,11 +141,11 @@
 				objects[i].Key = PrefixFleetServers + fmt.Sprintf("svc%04d-%05d", i/30, i)
 				objects[i].Value = strings.Replace(objects[i].Value, "riga-1", fmt.Sprintf("riga-%d", i%3), 1)
 			}
-			fl, _ := Fleet{}.Apply(time.Now(), 0, plainCodec{}, objects)
+			fl, _ := Fleet{}.Apply(time.Now(), Origin{}, 0, plainCodec{}, objects)
 			version := int64(count)
 			for b.Loop() {
 				version++
-				fl, _ = fl.Apply(time.Now(), 0, plainCodec{}, []Object{evacuation("riga-1", version, version%2 == 0)})
+				fl, _ = fl.Apply(time.Now(), Origin{}, 0, plainCodec{}, []Object{evacuation("riga-1", version, version%2 == 0)})
 			}
 		})
 	}
--- a/internal/world/view/copy.go
+++ b/internal/world/view/copy.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/binary"
 	"errors"
-	"fmt"
 	"slices"
 	"strings"
 
@@ -58,7 +57,7 @@
 		return cp, false, nil
 	}
 	if limit := max(have.Version, cp.markOf(ob.Key)); ob.Version < limit {
-		return cp, false, fmt.Errorf("object %s at %s, have %s: %w", ob.Key, FormatVersion(ob.Version), FormatVersion(limit), ErrOlderVersion)
+		return cp, false, &OlderError{Key: ob.Key, Version: ob.Version, Have: limit}
 	}
 	cp.Objects = cp.Objects.With(ob.Key, ob)
 	cp.Version = max(cp.Version, ob.Version)
--- a/internal/world/view/fleet.go
+++ b/internal/world/view/fleet.go
@@ -1,7 +1,6 @@
 package view
 
 import (
-	"fmt"
 	"maps"
 	"slices"
 	"strings"
@@ -17,6 +16,8 @@
 	Copy
 	// Table is nil until a table has been applied. Its version never decreases.
 	Table *contract.Table
+	// TableRecord tells where Table came from.
+	TableRecord TableRecord
 	// TableRevision is the highest version in the store of an object under PrefixTable.
 	TableRevision int64
 	// StoredTable is the version of the table that the store has; 0 if it has none. It is
@@ -99,6 +100,8 @@
 // changes.
 type draft struct {
 	Fleet
+	// origin is that of the objects that are applied.
+	origin Origin
 	// copied is set if the maps of servers are copies that may be changed.
 	copied bool
 }
@@ -309,21 +312,22 @@
 
 // FleetCodec decodes the objects of a fleet.
 type FleetCodec interface {
-	// Table decodes a configuration.
+	// Table decodes a configuration. Its error may be a *TableError.
 	Table(value string) (*contract.Table, error)
 	// Server decodes the record of a server. The State of the result is nil.
 	Server(now time.Time, name, value string) (machine.Server, error)
 }
 
 // Apply returns the fleet with objects applied, and an error for each that can't be
-// applied. removalDelay is how long a server is kept after an entry VM first saw that
+// applied, an *ObjectError. removalDelay is how long a server is kept after an entry VM first saw that
 // its record disappeared.
-func (fl Fleet) Apply(now time.Time, removalDelay time.Duration, codec FleetCodec, objects []Object) (Fleet, []error) {
+func (fl Fleet) Apply(now time.Time, origin Origin, removalDelay time.Duration, codec FleetCodec, objects []Object) (Fleet, []error) {
 	var refused []error
 	next := fl.update(func(dr *draft) {
+		dr.origin = origin
 		for _, ob := range marksLast(objects) {
 			if err := dr.apply(now, removalDelay, codec, ob); err != nil {
-				refused = append(refused, fmt.Errorf("object %s: %w", ob.Key, err))
+				refused = append(refused, &ObjectError{Object: ob, Err: err})
 			}
 		}
 	})
@@ -364,7 +368,7 @@
 		}
 		dr.setEvacuated(now, name, !ob.Deleted)
 	case PrefixTable:
-		err := dr.applyTable(codec, ob)
+		err := dr.applyTable(now, codec, ob)
 		if isRestored {
 			dr.keepTable(now, codec, have)
 		}
@@ -388,7 +392,7 @@
 	return nil
 }
 
-func (dr *draft) applyTable(codec FleetCodec, ob Object) error {
+func (dr *draft) applyTable(now time.Time, codec FleetCodec, ob Object) error {
 	dr.TableRevision = max(dr.TableRevision, ob.Version)
 	if ob.Deleted {
 		dr.StoredTable = 0
@@ -399,6 +403,6 @@
 		return err
 	}
 	dr.StoredTable = tb.Version
-	dr.setTable(tb)
+	dr.putInForce(now, tb, ob.Version)
 	return nil
 }
--- a/internal/world/view/fleet_test.go
+++ b/internal/world/view/fleet_test.go
@@ -50,7 +50,7 @@
 
 func mustApply(t *testing.T, fl Fleet, now time.Time, objects ...Object) Fleet {
 	t.Helper()
-	fl, refused := fl.Apply(now, removalDelay, plainCodec{}, objects)
+	fl, refused := fl.Apply(now, Origin{}, removalDelay, plainCodec{}, objects)
 	assert.Equal(t, len(refused), 0, "%v", refused)
 	return fl
 }
@@ -95,7 +95,7 @@
 
 func TestUndecodableObjectsAreRefused(t *testing.T) {
 	fl := mustApply(t, Fleet{}, start, recordObject("one", 1, planServer), Object{Key: PrefixTable + "main", Version: 2, Value: "version 5"})
-	fl, refused := fl.Apply(start, removalDelay, plainCodec{}, []Object{
+	fl, refused := fl.Apply(start, Origin{}, removalDelay, plainCodec{}, []Object{
 		{Key: PrefixFleetServers + "forged", Version: 3, Value: "{"},
 		{Key: PrefixFleetServers + "one", Version: 4, Value: `{"slots":"many"}`},
 		{Key: PrefixTable + "main", Version: 5, Value: "nothing"},
@@ -112,7 +112,7 @@
 	fl := mustApply(t, Fleet{}, start, recordObject("one", 1, planServer), table(2, 7), table(3, 6))
 	assert.Equal(t, fl.Table.Version, int64(7))
 	assert.Equal(t, fl.Servers["one"].ConnectionLimit, 25)
-	_, refused := fl.Apply(start, removalDelay, plainCodec{}, []Object{table(1, 9)})
+	_, refused := fl.Apply(start, Origin{}, removalDelay, plainCodec{}, []Object{table(1, 9)})
 	assert.ErrorIs(t, refused[0], ErrOlderVersion)
 }
 
@@ -172,9 +172,9 @@
 			batch = append(batch, ob)
 		}
 		now = now.Add(300 * time.Millisecond)
-		batched, _ = batched.Apply(now, removalDelay, plainCodec{}, batch)
+		batched, _ = batched.Apply(now, Origin{}, removalDelay, plainCodec{}, batch)
 		for _, ob := range batch {
-			single, _ = single.Apply(now, removalDelay, plainCodec{}, []Object{ob})
+			single, _ = single.Apply(now, Origin{}, removalDelay, plainCodec{}, []Object{ob})
 		}
 		batched, single = batched.RemoveExpired(now), single.RemoveExpired(now)
 		assert.Equal(t, batched.Digest, single.Digest)
@@ -333,7 +333,7 @@
 			next := old
 			for _, ob := range tt.objects {
 				// Objects that are older than those in force are refused.
-				next, _ = next.Apply(start, removalDelay, plainCodec{}, []Object{ob})
+				next, _ = next.Apply(start, Origin{}, removalDelay, plainCodec{}, []Object{ob})
 			}
 			// A zone that was taken back is used a moment later.
 			later := start.Add(time.Second)
--- a/internal/world/view/restore.go
+++ b/internal/world/view/restore.go
@@ -69,7 +69,7 @@
 		return err
 	}
 	dr.Copy = cp
-	dr.setTable(tb)
+	dr.putInForce(now, tb, ob.Version)
 	dr.behindUntil = now.Add(RewriteTime)
 	return nil
 }
--- a/internal/world/view/restore_test.go
+++ b/internal/world/view/restore_test.go
@@ -98,7 +98,7 @@
 	assert.Assert(t, !rewritten.Evacuated["a"], "the evacuation was seen taken back")
 	// A VM that was cut off does not bring back what the store has lost.
 	assert.Equal(t, len(rewritten.Newer(before.NewerThan(0, nil))), 0)
-	_, refused := rewritten.Apply(now, removalDelay, plainCodec{}, []Object{recordObject("unknown", 49, planServer)})
+	_, refused := rewritten.Apply(now, Origin{}, removalDelay, plainCodec{}, []Object{recordObject("unknown", 49, planServer)})
 	assert.ErrorIs(t, refused[0], ErrOlderVersion)
 }
 
@@ -170,7 +170,7 @@
 
 func applyModel(rt *rapid.T, fl Fleet, now time.Time, objects []Object) Fleet {
 	before := fl.Table
-	fl, _ = fl.Apply(now, removalDelay, plainCodec{}, objects)
+	fl, _ = fl.Apply(now, Origin{}, removalDelay, plainCodec{}, objects)
 	if before != nil && fl.Table.Version < before.Version {
 		rt.Fatalf("table %d replaced table %d", fl.Table.Version, before.Version)
 	}
