--- a/internal/node/forwardvm/logcontext.go
+++ b/internal/node/forwardvm/logcontext.go
@@ -27,7 +27,7 @@
 // requestFields returns the fields about the configuration of a request. Of the request
 // they have no more than its host and path, since queries and headers may hold keys.
 func (lc *logContext) requestFields(now time.Time, rc *forward.CallRecord) []zap.Field {
-	fields := []zap.Field{zap.String("host", cut(rc.Host)), zap.String("path", cut(rc.Path)), zap.Strings("services", rc.Services)}
+	fields := []zap.Field{zap.String("host", cut(rc.Host)), zap.String("path", cut(rc.Path)), zap.Strings("services", servicesOf(rc))}
 	if rc.Fleet == nil {
 		return fields
 	}
@@ -36,6 +36,14 @@
 	return append(fields, lc.storeFields(now)...)
 }
 
+// servicesOf returns the services that a request was planned for.
+func servicesOf(rc *forward.CallRecord) []string {
+	if rc.Service != "" {
+		return []string{rc.Service}
+	}
+	return rc.Shards
+}
+
 // storeFields returns the fields about the calls of this VM to the store.
 func (lc *logContext) storeFields(now time.Time) []zap.Field {
 	history := lc.answers.Load()
--- a/internal/node/forwardvm/logcontext_test.go
+++ b/internal/node/forwardvm/logcontext_test.go
@@ -98,7 +98,7 @@
 			lc := &logContext{answers: &answers, watches: func() bool { return tt.watches }, sinceBoot: func() time.Duration { return sinceBoot }}
 			ob := newObserver(zap.New(core), tally.NoopScope, lc)
 			ob.CallFinished(now, &forward.CallRecord{
-				ID: "id", Host: "h.example", Path: "/find/" + strings.Repeat("x", 1000), Services: []string{"s1", "s2"}, TableVersion: 18, Age: time.Second,
+				ID: "id", Host: "h.example", Path: "/find/" + strings.Repeat("x", 1000), Shards: []string{"s1", "s2"}, TableVersion: 18, Age: time.Second,
 				Outcome: tt.outcome, Fleet: tt.fleet, TableAsOf: freshness.AsOf(),
 			})
 			found := lines.All()
--- a/internal/query/forward/forward.go
+++ b/internal/query/forward/forward.go
@@ -106,9 +106,10 @@
 	Customer string
 	// Host and Path are those of the message, Path without the query.
 	Host, Path string
-	// Services are those that the call was sent to or would have been; empty if it was
-	// refused before they were chosen. It must not be changed.
-	Services     []string
+	// Service is the one that was chosen for the call, and Shards are those of its route;
+	// both are empty if the call was refused before that. Shards must not be changed.
+	Service      string
+	Shards       []string
 	TableVersion int64
 	// Fleet is what the call ran under, and TableAsOf the confirmation of its
 	// configuration.
@@ -334,7 +335,6 @@
 // request in the budget of each service.
 func (sv *Service) newJob(now time.Time, rn *run, fingerprint uint64, services []string) *scatter.Job[Attempt] {
 	rt := rn.route
-	rn.record.Services = services
 	jb := &scatter.Job[Attempt]{
 		Fingerprint: fingerprint,
 		Settings: scatter.JobSettings{
@@ -374,6 +374,7 @@
 // sendToService forwards a call to one server of one service.
 func (sv *Service) sendToService(ctx context.Context, now time.Time, rn *run, fingerprint uint64) (*Reply, error) {
 	service := rn.state.splitter.Pick(rn.route.Services)
+	rn.record.Service = service
 	jb := sv.newJob(now, rn, fingerprint, []string{service})
 	if rf := refuseUnavailable(now, jb.Shards, rn.route.MinCoverage); rf != nil {
 		return nil, rf
@@ -398,6 +399,7 @@
 // records. A part whose signature equals that of another part counts as
 // missing.
 func (sv *Service) sendToShards(ctx context.Context, now time.Time, rn *run, fingerprint uint64) (*Reply, error) {
+	rn.record.Shards = rn.route.Shards
 	jb := sv.newJob(now, rn, fingerprint, rn.route.Shards)
 	if rf := refuseUnavailable(now, jb.Shards, rn.route.MinCoverage); rf != nil {
 		return nil, rf
