Tell the era and revision of a setting in lines of serve about requests

With a restored store two settings can have the same revision, and lines about refused requests named only the path of the setting. The receipt has its version.

--- a/internal/node/entryvm/upkeep.go
+++ b/internal/node/entryvm/upkeep.go
@@ -12,6 +12,7 @@
 	"daisystage.example/daisystage/internal/peer/platform"
 	"daisystage.example/daisystage/internal/world/contract"
 	"daisystage.example/daisystage/internal/world/machine"
+	"daisystage.example/daisystage/internal/world/view"
 )
 
 // runUpkeep periodically updates the state that changes as time passes, such as
@@ -184,6 +185,7 @@
 		ev = events.AnswerUnknown
 	}
 	ev.Log(ob.log, zap.String("request_id", rc.RequestID), zap.String("path", rc.Setting.Path),
+		zap.Int64("era", view.EraOf(rc.Setting.Version)), zap.Int64("revision", view.RevisionOf(rc.Setting.Version)),
 		zap.String("outcome", string(rc.Outcome)), zap.String("code", string(rc.Code)), zap.String("reason", rc.Reason),
 		zap.Int("answered", rc.Coverage.Answered), zap.Int("total", rc.Coverage.Total))
 }
