--- a/internal/peer/platform/watchcalls.go
+++ b/internal/peer/platform/watchcalls.go
@@ -16,23 +16,23 @@
 	return wt.calls.Load()
 }
 
-// list calls Store.List and records how the call ended.
-func (wt *Watcher) list(ctx context.Context, prefix string) ([]view.Object, int64, error) {
+// callList calls Store.List and records how the call ended.
+func (wt *Watcher) callList(ctx context.Context, prefix string) ([]view.Object, int64, error) {
 	objects, version, err := wt.Store.List(ctx, prefix)
 	wt.recordCall(ctx, prefix, err)
 	return objects, version, err
 }
 
-// listFrom calls StaleLister.ListStale and records how the call ended.
-func (wt *Watcher) listFrom(ctx context.Context, store StaleLister, prefix string) ([]view.Object, int64, error) {
+// callListStale calls StaleLister.ListStale and records how the call ended.
+func (wt *Watcher) callListStale(ctx context.Context, store StaleLister, prefix string) ([]view.Object, int64, error) {
 	objects, version, err := store.ListStale(ctx, prefix)
 	wt.recordCall(ctx, prefix, err)
 	return objects, version, err
 }
 
-// watch calls Store.Watch and records how the call ended. It logs the first of successive
+// callWatch calls Store.Watch and records how the call ended. It logs the first of successive
 // watches of a prefix that are answered late.
-func (wt *Watcher) watch(ctx context.Context, prefix string, from int64, wait time.Duration) ([]view.Object, int64, error) {
+func (wt *Watcher) callWatch(ctx context.Context, prefix string, from int64, wait time.Duration) ([]view.Object, int64, error) {
 	sentAt := time.Now()
 	objects, version, err := wt.Store.Watch(ctx, prefix, from, wait)
 	wt.recordCall(ctx, prefix, err)
@@ -60,10 +60,10 @@
 	}
 }
 
-// apply applies objects of an answer to the target. It logs the first answer for a prefix
+// applyFrom applies objects of an answer to the target. It logs the first answer for a prefix
 // after a failure, with the time since the first failure and the number of objects that it
 // changed.
-func (wt *Watcher) apply(prefix string, origin view.Origin, objects []view.Object) {
+func (wt *Watcher) applyFrom(prefix string, origin view.Origin, objects []view.Object) {
 	now := time.Now()
 	changed := wt.Target.Apply(now, origin, objects)
 	wt.lock.Lock()
--- a/internal/peer/platform/watcher.go
+++ b/internal/peer/platform/watcher.go
@@ -390,14 +390,14 @@
 // listStale applies a list that may be old. It confirms nothing and takes nothing
 // for deleted; the watch that follows brings what has changed since.
 func (wt *Watcher) listStale(ctx context.Context, store StaleLister, prefix string) (int64, error) {
-	objects, version, err := wt.listFrom(ctx, store, prefix)
+	objects, version, err := wt.callListStale(ctx, store, prefix)
 	if err != nil {
 		return 0, err
 	}
 	if !wt.eras.Observe(view.EraOf(version)) {
 		return 0, fmt.Errorf("list %s: %w", prefix, ErrOldEra)
 	}
-	wt.apply(prefix, view.Origin{Source: view.SourceStaleList}, objects)
+	wt.applyFrom(prefix, view.Origin{Source: view.SourceStaleList}, objects)
 	// A short watch confirms the list soon.
 	wt.setSlow(prefix, true)
 	return version, nil
@@ -408,7 +408,7 @@
 func (wt *Watcher) step(ctx context.Context, prefix string, from int64) (int64, error) {
 	startedAt, answered := time.Now(), wt.beginCall(prefix)
 	if from < 0 {
-		objects, version, err := wt.list(ctx, prefix)
+		objects, version, err := wt.callList(ctx, prefix)
 		if err != nil {
 			return 0, err
 		}
@@ -420,7 +420,7 @@
 		if mark, ok := view.NewEraMark(prefix, era); ok {
 			objects = append(objects, mark)
 		}
-		wt.apply(prefix, view.Origin{Source: view.SourceList}, objects)
+		wt.applyFrom(prefix, view.Origin{Source: view.SourceList}, objects)
 		wt.confirm(prefix, startedAt, era)
 		answered(version)
 		return version, nil
@@ -429,7 +429,7 @@
 	if wt.isSlow(prefix) {
 		wait = min(wait, slowWatchWait)
 	}
-	objects, next, err := wt.watch(ctx, prefix, from, wait)
+	objects, next, err := wt.callWatch(ctx, prefix, from, wait)
 	if err != nil {
 		return 0, err
 	}
@@ -443,7 +443,7 @@
 		events.StaleStore.Log(wt.Log, zap.String("prefix", prefix), zap.Int64("version", next), zap.Int64("known", from))
 		return from, nil
 	}
-	wt.apply(prefix, view.Origin{Source: view.SourceWatch}, objects)
+	wt.applyFrom(prefix, view.Origin{Source: view.SourceWatch}, objects)
 	wt.confirm(prefix, startedAt, view.EraOf(next))
 	answered(next)
 	if len(objects) == 0 && wt.Pacing.KeepsHistory != nil && wt.Pacing.KeepsHistory(prefix) && time.Since(startedAt) >= wait {
