--- a/internal/query/forward/forward.go
+++ b/internal/query/forward/forward.go
@@ -103,8 +103,18 @@
 	ID    string
 	Route string
 	// Customer is the name of the customer; empty if none was found.
-	Customer     string
+	Customer string
+	// Host and Path are those of the message, Path without the query.
+	Host, Path string
+	// Service is the one that was chosen for the call, and Shards are those of its route;
+	// both are empty if the call was refused before that. Shards must not be changed.
+	Service      string
+	Shards       []string
 	TableVersion int64
+	// Fleet is what the call ran under, and TableAsOf the confirmation of its
+	// configuration.
+	Fleet     *view.Fleet
+	TableAsOf view.AsOf
 	// Age is the time since the platform last confirmed the configuration.
 	Age time.Duration
 	// RoundTrip is that of the call.
@@ -224,6 +234,8 @@
 func (sv *Service) Run(ctx context.Context, now time.Time, cl Call) (*Reply, error) {
 	rn := &run{call: cl, started: now, record: &CallRecord{ID: cl.Message.ID, RoundTrip: cl.RoundTrip}}
 	rn.keysAsOf, rn.fleet = sv.keysAndFleet()
+	rn.record.Host, rn.record.Path = rn.call.Message.Host, rn.call.Message.Path()
+	rn.record.Fleet, rn.record.TableAsOf = rn.fleet, rn.keysAsOf
 	reply, err := sv.answer(ctx, now, rn)
 	sv.finish(time.Now(), rn, reply, err)
 	return reply, err
@@ -276,7 +288,7 @@
 	rn.record.TableVersion = tb.Version
 	// A confirmation may arrive after now was read.
 	rn.record.Age = max(now.Sub(sv.ConfirmedAt()), 0)
-	rn.route = tb.Match(rn.call.Message.Host, rn.call.Message.Path())
+	rn.route = tb.Match(rn.record.Host, rn.record.Path)
 	if rn.route == nil {
 		return contract.NewRefusal(contract.Invalid, contract.CodeNoRoute, "no route has this host and path")
 	}
@@ -362,6 +374,7 @@
 // sendToService forwards a call to one server of one service.
 func (sv *Service) sendToService(ctx context.Context, now time.Time, rn *run, fingerprint uint64) (*Reply, error) {
 	service := rn.state.splitter.Pick(rn.route.Services)
+	rn.record.Service = service
 	jb := sv.newJob(now, rn, fingerprint, []string{service})
 	if rf := refuseUnavailable(now, jb.Shards, rn.route.MinCoverage); rf != nil {
 		return nil, rf
@@ -386,6 +399,7 @@
 // records. A part whose signature equals that of another part counts as
 // missing.
 func (sv *Service) sendToShards(ctx context.Context, now time.Time, rn *run, fingerprint uint64) (*Reply, error) {
+	rn.record.Shards = rn.route.Shards
 	jb := sv.newJob(now, rn, fingerprint, rn.route.Shards)
 	if rf := refuseUnavailable(now, jb.Shards, rn.route.MinCoverage); rf != nil {
 		return nil, rf
