--- a/internal/query/forward/forward.go
+++ b/internal/query/forward/forward.go
@@ -62,6 +62,30 @@
 	Memory *quota.Lease
 }
 
+const (
+	// defaultBodyTime is the time in which the body of a call arrives whose route is not
+	// known.
+	defaultBodyTime = 10 * time.Second
+	// maxBodyTime bounds it whatever the call and its route allow, since a body holds memory
+	// while it arrives.
+	maxBodyTime = time.Minute
+)
+
+// BodyTime returns the time in which the body of a call must arrive, of which everything else
+// is known: no longer than the caller and the operator wait for the answer.
+func (sv *Service) BodyTime(cl *Call) time.Duration {
+	limit := defaultBodyTime
+	if tb := sv.Fleets.Load().Table; tb != nil {
+		if rt := tb.Match(cl.Message.Host, cl.Message.Path()); rt != nil && rt.Timeout > 0 {
+			limit = rt.Timeout
+		}
+	}
+	if cl.Deadline > 0 {
+		limit = min(limit, cl.Deadline)
+	}
+	return min(limit, maxBodyTime)
+}
+
 // Attempt is the message of one attempt to one server.
 type Attempt struct {
 	scatter.AttemptLimits
@@ -162,8 +186,8 @@
 	// ConfirmedAt returns the time of the last confirmation by the platform.
 	ConfirmedAt func() time.Time
 	// Freshness is that of the configuration in force, SinceBoot reads its clock, and
-	// KeyBounds returns the bounds on it. They are used only if the configuration has
-	// customers.
+	// KeyBounds returns the bounds on it. They are used for customers' keys and for requests
+	// without a route. Nil stands for a configuration that is always the newest.
 	Freshness  *view.Freshness
 	SinceBoot  func() time.Duration
 	KeyBounds  func() view.KeyBounds
@@ -192,6 +216,9 @@
 	// staleKeys is the outage of requests with keys while the configuration may be out of
 	// date.
 	staleKeys overload
+	// staleRoutes is the outage of requests without a route in that time, and of those whose
+	// route can't be used.
+	staleRoutes overload
 }
 
 const (
@@ -289,10 +316,16 @@
 	// A confirmation may arrive after now was read.
 	rn.record.Age = max(now.Sub(sv.ConfirmedAt()), 0)
 	rn.route = tb.Match(rn.record.Host, rn.record.Path)
-	if rn.route == nil {
-		return contract.NewRefusal(contract.Invalid, contract.CodeNoRoute, "no route has this host and path")
+	switch {
+	case rn.route == nil && tb.HidesRoutes:
+		return unusableRoute("the host or the prefix of a listed route is not known")
+	case rn.route == nil:
+		return sv.noRoute(rn)
 	}
 	rn.record.Route = rn.route.Name
+	if rn.route.Unusable != "" {
+		return unusableRoute(rn.route.Unusable)
+	}
 	if rf := sv.checkKey(rn, tb); rf != nil {
 		return rf
 	}
@@ -314,6 +347,18 @@
 	return nil
 }
 
+// noRoute returns the refusal of a request for which the configuration in force has no route.
+func (sv *Service) noRoute(rn *run) *contract.Refusal {
+	if sv.Freshness == nil || sv.KeyBounds().IsUnknown(rn.keysAsOf.Age(sv.SinceBoot())) {
+		return contract.NewRefusal(contract.Invalid, contract.CodeNoRoute, "no route has this host and path")
+	}
+	return contract.NewRefusal(contract.NotRun, contract.CodeStaleRoutes, "the configuration has no route for this host and path, and may be too old to know it")
+}
+
+func unusableRoute(reason string) *contract.Refusal {
+	return contract.NewRefusal(contract.NotRun, contract.CodeUnusableRoute, "%s", reason)
+}
+
 func (sv *Service) stateOf(route string) *routeState {
 	if value, ok := sv.routes.Load(route); ok {
 		return value.(*routeState)
@@ -485,6 +530,8 @@
 	case rf.Outcome != contract.NotRun || rf.RetryAfter > 0:
 	case rf.Code == contract.CodeStaleKeys:
 		rf.RetryAfter = sv.staleKeys.retryAfter(now, rn.call.Message.ID)
+	case rf.Code == contract.CodeStaleRoutes, rf.Code == contract.CodeUnusableRoute:
+		rf.RetryAfter = sv.staleRoutes.retryAfter(now, rn.call.Message.ID)
 	case rf.Code == contract.CodeStarting:
 		rf.RetryAfter = sv.starting.retryAfter(now, rn.call.Message.ID, minRetryAfterStarting)
 	case rf.Code == contract.CodeNoServer:
--- a/internal/world/view/fleet.go
+++ b/internal/world/view/fleet.go
@@ -62,8 +62,8 @@
 	return fl.Services[service]
 }
 
-// WithTable returns a fleet with the table in force, unless the current one is at
-// least as new.
+// WithTable returns a fleet with the table in force, unless the version of the current one
+// is higher.
 func (fl Fleet) WithTable(tb *contract.Table) Fleet {
 	return fl.update(func(dr *draft) { dr.setTable(tb) })
 }
@@ -124,7 +124,7 @@
 
 // setTable implements WithTable. It also updates the limits of servers.
 func (dr *draft) setTable(tb *contract.Table) {
-	if dr.Table != nil && tb.Version <= dr.Table.Version {
+	if dr.Table != nil && tb.Version < dr.Table.Version {
 		return
 	}
 	dr.copyMaps()
@@ -303,7 +303,9 @@
 
 // The key prefixes of the objects that make up a fleet.
 const (
-	PrefixTable        = "config/"
+	PrefixTable = "config/"
+	// KeyTable is the key of the configuration, the only one under its prefix.
+	KeyTable           = PrefixTable + "main"
 	PrefixFleetServers = "servers/"
 	// PrefixEvacuations is followed by the name of a zone. The content of the objects is
 	// not read.
@@ -368,6 +370,10 @@
 		}
 		dr.setEvacuated(now, name, !ob.Deleted)
 	case PrefixTable:
+		dr.TableRevision = max(dr.TableRevision, ob.Version)
+		if ob.Key != KeyTable {
+			return nil
+		}
 		err := dr.applyTable(now, codec, ob)
 		if isRestored {
 			dr.keepTable(now, codec, have)
@@ -393,7 +399,6 @@
 }
 
 func (dr *draft) applyTable(now time.Time, codec FleetCodec, ob Object) error {
-	dr.TableRevision = max(dr.TableRevision, ob.Version)
 	if ob.Deleted {
 		dr.StoredTable = 0
 		return nil
@@ -404,5 +409,8 @@
 	}
 	dr.StoredTable = tb.Version
 	dr.putInForce(now, tb, ob.Version)
+	if err := tb.UnusableError(); err != nil {
+		return &TableError{Version: tb.Version, Err: err}
+	}
 	return nil
 }
