Pair no confirmation with an older copy in heartbeats

Callers could get answers by an old configuration for one wait longer: a heartbeat read the digest of the copy before the time of the confirmation. A change that arrived in between was confirmed to peers that lacked it.

Not seen in the field.

Change: the confirmation is read first, then the copy, as docs/design/keys.md asks for the configuration's.

--- a/internal/peer/entry/heartbeat.go
+++ b/internal/peer/entry/heartbeat.go
@@ -49,11 +49,13 @@
 
 // Heartbeat returns the heartbeat that this process sends to an entry VM in a zone.
 func (cr *Cluster) Heartbeat(now time.Time, zone string) *entrypb.Heartbeat {
+	// Read before the copy, so that no confirmation is paired with an older copy.
+	confirmedAt, age := cr.ConfirmedAt(), cr.confirmationAge(now)
 	own, cp := cr.OwnRecord(now), cr.Replica.Current()
 	hb := &entrypb.Heartbeat{
 		Sender:       encodeMember(now, own),
-		Confirmed:    now.Sub(cr.ConfirmedAt()) <= view.ConfirmationTTL,
-		ConfirmedMs:  cr.confirmationAge(now),
+		Confirmed:    now.Sub(confirmedAt) <= view.ConfirmationTTL,
+		ConfirmedMs:  age,
 		PlatformDown: cr.PlatformDown(),
 		Version:      cp.Version,
 		Digest:       cp.Digest,
