Date confirmations by the store's answers, and name successors

Cause: a VM that watches told its peers that all is confirmed now, as long as no call had failed, and counted as reaching the store until then. A watch that hangs fails after 3 to 4 s.

Change: a VM dates its confirmation by the store's last answer. It plans the waits of its watches so that answers come at most a second apart while nothing changes, gives up a watch that is overdue by 0.25 s, and lists over another connection. Without an answer for half of the time in which a change must be in force it tells its peers, and the next VM of its zone lists and watches at once; its own calls stay open. The others ask their peers again at 65%, and watch the store themselves at 75% (55% before) unless a VM that watches says that it is answered; of more than 9 VMs about four at a time. Lateness of the store lengthens the limits of those that watch, so that a slow store is watched by no more of them. Evacuations count as changes.

Why it works: what followers count from is older than the cut, and a successor, by then a second one too, has listed before the bound. A VM whose watches alone are gone needs no successor.

--- a/internal/node/forwardvm/process.go
+++ b/internal/node/forwardvm/process.go
@@ -39,11 +39,17 @@
 	// The work that visits all connections is done once in roundsPerFullUpkeep
 	// rounds.
 	roundsPerFullUpkeep = 5
-	// A watch waits for a change for minWatchWait plus a random part of
-	// watchJitter. The random part keeps the watching entry VMs out of step, so
-	// that a change missed by one is soon seen by another.
-	minWatchWait = time.Second
-	watchJitter  = time.Second
+	// A watch waits for a change for minDrawnWait plus a random part of
+	// drawnWaitJitter, or less (spreadWait), but at least minWatchWait. The random part
+	// keeps the watching entry VMs out of step, so that a change missed by one is soon
+	// seen by another.
+	minDrawnWait    = 1300 * time.Millisecond
+	drawnWaitJitter = 700 * time.Millisecond
+	minWatchWait    = time.Second
+	// maxAnswerGap is the longest time between two answers of the platform to an entry VM
+	// that watches, apart from pauses. It must be well below the time after which it
+	// counts as unanswered.
+	maxAnswerGap = time.Second
 	// A watch of the evacuations waits for minEvacuationWaitPercent plus a random part of
 	// evacuationJitterPercent of the time within which one must take effect. The rest is
 	// for a watch that fails, and for passing the change on.
@@ -52,11 +58,16 @@
 	// unreachableFor is how long after a failed call an entry VM considers the
 	// platform unreachable and leaves watching to other entry VMs.
 	unreachableFor = 5 * time.Second
-	// peerWaitPercent is how long an entry VM without confirmation through peers
-	// waits before it watches the platform itself, in percent of the time within
-	// which a change must take effect: ApplyWithin or DrainFor, whichever is
-	// shorter.
-	peerWaitPercent = 55
+	// askPeersPercent and ownWatchPercent are how long an entry VM without confirmation
+	// through peers waits before it asks them again, and before it watches the platform
+	// itself, in percent of the time within which a change must take effect. Confirmations
+	// are up to maxAnswerGap, a pause and a HeartbeatInterval old; the rest is for a list.
+	askPeersPercent = 65
+	ownWatchPercent = 75
+	// In a fleet of more than maxUndrawn VMs about drawnWatchers of those without
+	// confirmation begin to watch the platform in each round of the upkeep.
+	maxUndrawn    = 9
+	drawnWatchers = 4
 	// retryTurn is the length of each entry VM's turn to try an unreachable
 	// platform.
 	retryTurn = 300 * time.Millisecond
@@ -159,8 +170,9 @@
 	// carriesCallers is set while this VM is selected for the callers of any zone,
 	// or no VM is selected at all.
 	carriesCallers atomic.Bool
-	// keysWereStale is what reportStaleKeys last saw.
-	keysWereStale bool
+	// keysWereStale is what reportStaleKeys last saw, wasUnanswered what
+	// reportUnanswered did.
+	keysWereStale, wasUnanswered bool
 	// departures counts the servers that said that they are leaving, backOffs how
 	// often a server began to ask for no requests; backOffLogs limits the log lines
 	// about the latter, and lostLogs those about servers lost to requests.
@@ -249,7 +261,7 @@
 	ps.unreadable.OnNew = ps.logUnreadable
 	ps.target = &fleetTarget{process: ps, codec: fe.Codec}
 	prefixes := []string{view.PrefixTable, view.PrefixFleetServers}
-	pacing := platform.WatchPacing{MaxWait: ps.watchWait, KeepsHistory: ps.isStrictTable, Pause: watchBatchDelay}
+	pacing := platform.WatchPacing{MaxWait: ps.watchWait, KeepsHistory: ps.isStrictTable, Pause: watchBatchDelay, ListOverdue: true}
 	if cg.UsesWarmUp {
 		prefixes = append(prefixes, view.PrefixEvacuations)
 		pacing.Lead = view.PrefixEvacuations
--- a/internal/node/forwardvm/upkeep.go
+++ b/internal/node/forwardvm/upkeep.go
@@ -98,58 +98,134 @@
 	if prefix == view.PrefixEvacuations {
 		return cg.EvacuateWithin*minEvacuationWaitPercent/100 + rand.N(max(cg.EvacuateWithin*evacuationJitterPercent/100, 1))
 	}
-	wait := minWatchWait + rand.N(watchJitter)
+	wait, strictWait := minDrawnWait+rand.N(drawnWaitJitter), cg.RevokeWithin*strictWaitPercent/100
+	if !ps.isStrict() || strictWait > maxAnswerGap {
+		first, last := ps.watcher.Due(prefix)
+		wait = spreadWait(wait, bootclock.Now(), first, last)
+	}
 	if ps.isStrictTable(prefix) {
-		wait = min(wait, cg.RevokeWithin*strictWaitPercent/100)
+		wait = min(wait, strictWait)
 	}
 	return wait
 }
 
-// directlyConfirmedAt returns when the platform last confirmed the fleet to
-// this process directly: now while all prefixes are listed and watched, else
-// the zero time.
+// spreadWait shortens a wait so that this watch and the open ones, of which the first and
+// the last end at the given times, are answered at most maxAnswerGap apart if nothing
+// changes. So answers prove often that the platform is reached, without other calls.
+func spreadWait(wait, now, first, last time.Duration) time.Duration {
+	switch {
+	case last == 0:
+		return wait
+	case first-now > minWatchWait:
+		return minWatchWait
+	}
+	return max(min(wait, last-now+maxAnswerGap), minWatchWait)
+}
+
+// directlyConfirmedAt returns the latest time as of which the platform told this process
+// itself all changes; the zero time unless all prefixes are listed and watched. A watch that
+// hangs renews nothing.
 func (ps *Process) directlyConfirmedAt() time.Time {
-	if ps.watcher.IsCurrent() {
-		return time.Now()
+	if !ps.watcher.IsCurrent() {
+		return time.Time{}
 	}
-	return time.Time{}
+	asOf := ps.watcher.Progress().ConfirmedAsOf()
+	return time.Now().Add(asOf - bootclock.Now())
 }
 
 // isPlatformUnreachable reports whether this process's last call to the platform
-// failed recently.
+// failed recently, or its calls have been unanswered for too long.
 func (ps *Process) isPlatformUnreachable() bool {
-	return ps.watcher.FailedWithin(time.Now(), unreachableFor)
+	return ps.watcher.FailedWithin(time.Now(), unreachableFor) || ps.isUnanswered()
+}
+
+// isUnanswered reports whether another entry VM is to watch the platform since this one gets
+// no answers. They may still come.
+func (ps *Process) isUnanswered() bool {
+	return ps.watcher.Progress().IsUnanswered(bootclock.Now(), ps.changeWithin())
+}
+
+// changeWithin returns the time within which any change must take effect.
+func (ps *Process) changeWithin() time.Duration {
+	cg := ps.settings.Load()
+	within := min(cg.ApplyWithin, cg.DrainFor)
+	if cg.UsesWarmUp {
+		within = min(within, cg.EvacuateWithin)
+	}
+	return within
+}
+
+// reportUnanswered tells the peers without waiting for the next heartbeat when this process
+// gets no answers, so that a successor watches the platform, and when it gets them again. A
+// failed call is not told at once, since the next one is mostly answered. Only the upkeep
+// calls it.
+func (ps *Process) reportUnanswered() {
+	if is := ps.isUnanswered(); is != ps.wasUnanswered {
+		ps.wasUnanswered = is
+		ps.Cluster.TriggerRound()
+	}
 }
 
 // followsPeers reports whether this process gets changes of the platform through
 // peers.
 func (ps *Process) followsPeers() bool {
-	return !ps.watcher.IsCurrent()
+	return !ps.watcher.IsCurrent() || ps.isUnanswered()
 }
 
-// mustWatchPlatform reports whether this process is to watch the platform
-// directly: it is one of the entry VMs that watch on behalf of all, or no
-// confirmation came through those for too long. While the platform is
-// unreachable, entry VMs without confirmation try it in turns.
+// confirmationAge returns how long ago the platform confirmed the fleet to the peers.
+func (ps *Process) confirmationAge(now time.Time) time.Duration {
+	asOf := ps.Confirmation.AsOf()
+	if ps.Config.FirstStart && asOf.Before(ps.startedAt) {
+		// The others have just started, too, and confirm the platform's state soon.
+		asOf = ps.startedAt
+	}
+	return now.Sub(asOf)
+}
+
+// mustWatchPlatform reports whether this process is to watch the platform directly: it is one
+// of the entry VMs that watch on behalf of all, its calls may still be answered, or no
+// confirmation came through those for too long. While the platform is unreachable, entry VMs
+// without confirmation try it in turns.
 func (ps *Process) mustWatchPlatform(now time.Time) bool {
 	members := ps.Cluster.Members(now)
 	isSelf := func(vm machine.EntryVM) bool { return vm.Name == ps.Config.Name }
 	if slices.ContainsFunc(machine.Watchers(now, members), isSelf) {
 		return true
 	}
+	if ps.isUnanswered() && !ps.watcher.FailedWithin(now, unreachableFor) {
+		return true
+	}
 	if ps.lacksFreshTable(bootclock.Now()) {
 		return !ps.isPlatformUnreachable() || ps.isTurn(now, members)
 	}
-	maxAge := min(ps.settings.Load().ApplyWithin, ps.settings.Load().DrainFor) * peerWaitPercent / 100
-	asOf := ps.Confirmation.AsOf()
-	if ps.Config.FirstStart && asOf.Before(ps.startedAt) {
-		// The others have just started, too, and confirm the platform's state soon.
-		asOf = ps.startedAt
-	}
-	if now.Sub(asOf) <= maxAge {
+	if ps.confirmationAge(now) <= ps.changeWithin()*ownWatchPercent/100 {
 		return false
 	}
-	return !ps.isPlatformUnreachable() || ps.isTurn(now, members)
+	if ps.isPlatformUnreachable() {
+		return ps.isTurn(now, members)
+	}
+	return !ps.Cluster.HearsWatcher(now) && ps.isDrawn(now, members)
+}
+
+// askPeers starts a round of heartbeats when the platform's last confirmation gets old: a
+// successor of a VM that watched may have a newer one.
+func (ps *Process) askPeers(now time.Time) {
+	age, within := ps.confirmationAge(now), ps.changeWithin()
+	if !ps.watcher.IsCurrent() && age > within*askPeersPercent/100 && age <= within {
+		ps.Cluster.TriggerRound()
+	}
+}
+
+// isDrawn draws some of many VMs, so that not all of them call the platform at once when
+// they lack a confirmation. A VM that hears from no peer is always drawn.
+func (ps *Process) isDrawn(now time.Time, members []machine.EntryVM) bool {
+	live := 0
+	for _, vm := range members {
+		if vm.IsLive(now) {
+			live++
+		}
+	}
+	return live <= maxUndrawn || !ps.Cluster.HearsPeer(now) || rand.N(live) < drawnWatchers
 }
 
 // isTurn reports whether it is this process's turn among the members to try an
@@ -186,6 +262,8 @@
 		ps.Fleets.Update(func(fl view.Fleet) view.Fleet { return fl.RemoveExpired(now) })
 	}
 	ps.watcher.SetActive(ps.mustWatchPlatform(now))
+	ps.reportUnanswered()
+	ps.askPeers(now)
 	ps.reportStaleKeys()
 	ps.Service.PublishLatencies()
 	if !full {
--- /dev/null
+++ b/internal/peer/platform/progress.go
@@ -0,0 +1,140 @@
+package platform
+
+import "time"
+
+const (
+	// nextAnswerPercent and firstAnswerPercent are the parts of the time within which a
+	// change must take effect after which a watcher counts as unanswered: since the last
+	// answer, and since it became active if there was none. What remains is for a successor.
+	nextAnswerPercent  = 50
+	firstAnswerPercent = 23
+	// minNextAnswer and minFirstAnswer are the least of these times. Watches are answered
+	// every second or so while nothing changes.
+	minNextAnswer  = 1300 * time.Millisecond
+	minFirstAnswer = 600 * time.Millisecond
+	// maxLate bounds the lateness that is allowed for.
+	maxLate = 2 * time.Second
+	// overdueAfter is how long after its wait a watch may be unanswered.
+	overdueAfter = 250 * time.Millisecond
+)
+
+// Progress tells how far the answers of the platform reach that a Watcher has got. Its times
+// are readings of Watcher.SinceBoot; 0 is never.
+type Progress struct {
+	// Active is whether the watcher makes calls, and From since when it may be answered.
+	Active bool
+	From   time.Duration
+	// AsOf is the latest time at which an answer held all changes of its prefix. It is set
+	// after they have been applied.
+	AsOf time.Duration
+	// Late is how much later than it could the platform gave its last answers.
+	Late time.Duration
+	// DueAt is when the first of the open calls could be answered at the earliest.
+	DueAt time.Duration
+}
+
+// ConfirmedAsOf returns the latest time as of which the platform is known to have told all
+// changes: an open watch would have brought one if the platform has answered another call
+// since, unless it is overdue itself.
+func (pg Progress) ConfirmedAsOf() time.Duration {
+	if pg.DueAt == 0 {
+		return pg.AsOf
+	}
+	return min(pg.AsOf, pg.overdueAt(pg.DueAt))
+}
+
+// overdueAt returns when a call is overdue that could be answered from a time on.
+func (pg Progress) overdueAt(due time.Duration) time.Duration {
+	return due + overdueAfter + 2*min(pg.Late, maxLate)
+}
+
+// IsUnanswered reports whether the platform has not answered for so long that another
+// process is to watch, if a change must take effect within a time.
+func (pg Progress) IsUnanswered(now, within time.Duration) bool {
+	if !pg.Active {
+		return false
+	}
+	limit := max(within*firstAnswerPercent/100, minFirstAnswer)
+	if pg.AsOf >= pg.From {
+		limit = max(within*nextAnswerPercent/100, minNextAnswer)
+	}
+	return now-max(pg.AsOf, pg.From) > limit+2*min(pg.Late, maxLate)
+}
+
+// progress keeps a Progress. The lock of its Watcher guards it.
+type progress struct {
+	Progress
+	// due holds when the open call for each prefix could be answered at the earliest.
+	due map[string]time.Duration
+}
+
+// begin records that the watcher became active.
+func (pr *progress) begin(now time.Duration) {
+	pr.Active, pr.From, pr.Late = true, now, 0
+}
+
+// snapshot returns the Progress.
+func (pr *progress) snapshot() Progress {
+	pg := pr.Progress
+	for _, at := range pr.due {
+		if pg.DueAt == 0 || at < pg.DueAt {
+			pg.DueAt = at
+		}
+	}
+	return pg
+}
+
+// markSent records a call that waits for a change, and returns the time.
+func (wt *Watcher) markSent(prefix string, wait time.Duration) time.Duration {
+	now := wt.SinceBoot()
+	wt.lock.Lock()
+	defer wt.lock.Unlock()
+	wt.progress.due[prefix] = now + wait
+	return now
+}
+
+// markUnanswered records that a call ended, and told nothing about the newest state.
+func (wt *Watcher) markUnanswered(prefix string) {
+	wt.lock.Lock()
+	defer wt.lock.Unlock()
+	delete(wt.progress.due, prefix)
+}
+
+// markReceived records that a call was answered and its changes were applied. A watch holds
+// them as of its answer, but not after its wait: an answer may lie in a socket while the VM
+// is frozen.
+func (wt *Watcher) markReceived(prefix string, sentAt, wait time.Duration, hasChanges bool) {
+	now := wt.SinceBoot()
+	wt.lock.Lock()
+	defer wt.lock.Unlock()
+	pr := &wt.progress
+	delete(pr.due, prefix)
+	pr.AsOf = max(pr.AsOf, min(now, sentAt+wait))
+	if !hasChanges {
+		pr.Late = max(now-sentAt-wait, 0)
+	}
+}
+
+// Progress returns how far the answers of the platform reach.
+func (wt *Watcher) Progress() Progress {
+	wt.lock.Lock()
+	defer wt.lock.Unlock()
+	return wt.progress.snapshot()
+}
+
+// Due returns when the first and the last of the open calls for other prefixes could be
+// answered at the earliest; 0 if there is none.
+func (wt *Watcher) Due(prefix string) (first, last time.Duration) {
+	wt.lock.Lock()
+	defer wt.lock.Unlock()
+	for other, at := range wt.progress.due {
+		if other == prefix {
+			continue
+		}
+		last = max(last, at)
+		if first == 0 || at < first {
+			first = at
+		}
+	}
+	return first, last
+}
--- a/internal/peer/platform/watcher.go
+++ b/internal/peer/platform/watcher.go
@@ -12,6 +12,7 @@
 
 	"go.uber.org/zap"
 
+	"daisystage.example/daisystage/internal/node/bootclock"
 	"daisystage.example/daisystage/internal/node/events"
 	"daisystage.example/daisystage/internal/world/view"
 )
@@ -65,6 +66,9 @@
 	// Pause is the time between an answer and the next watch, so that changes in
 	// quick succession arrive in one answer.
 	Pause time.Duration
+	// ListOverdue is whether a watch that is overdue is given up and the prefix listed, over
+	// another connection.
+	ListOverdue bool
 	// KeepsHistory reports whether a watch of a prefix that brought no change is followed
 	// by one from the same version, so that a change that the watch missed is found by the
 	// next one, or its loss noticed; nil if none is.
@@ -84,6 +88,9 @@
 	return WatchPacing{MaxWait: func(string) time.Duration { return watchWait }}
 }
 
+// errOverdue is the end of a watch that was given up.
+var errOverdue = errors.New("watch is overdue")
+
 // Watcher lists and watches prefixes of the platform's objects, to keep a target
 // up to date. Make one with NewWatcher.
 type Watcher struct {
@@ -92,6 +99,8 @@
 	Target   Target
 	Pacing   WatchPacing
 	Log      *zap.Logger
+	// SinceBoot reads a clock that counts suspensions and never jumps. NewWatcher sets it.
+	SinceBoot func() time.Duration
 	// OnCall is called before a call for a prefix is sent that the platform answers from
 	// its newest state. The function that it returns is called when the answer has been
 	// applied, unless the platform is known to have had a newer state before the call.
@@ -125,6 +134,7 @@
 	listed map[string]int64
 	// failedAt is when a call last failed; zero if one was answered since.
 	failedAt time.Time
+	progress progress
 	// leadListed is closed when the lead prefix was listed or failed too often.
 	leadListed chan struct{}
 	// eras is the store's, or one of its own for a store that tells no era.
@@ -138,6 +148,7 @@
 		confirmedAt: map[string]time.Time{}, newest: map[string]int64{}, slow: map[string]bool{}, refresh: map[string]chan struct{}{},
 		active: make(chan struct{}), listed: map[string]int64{}, leadListed: make(chan struct{}), eras: &Eras{},
 		Answers: &LastAnswer{}, failedSince: map[string]time.Time{},
+		SinceBoot: bootclock.Now, progress: progress{due: map[string]time.Duration{}},
 	}
 	if source, ok := store.(EraSource); ok {
 		wt.eras = source.Eras()
@@ -160,9 +171,11 @@
 	}
 	wt.calls.Store(active)
 	if active {
+		wt.progress.begin(wt.SinceBoot())
 		close(wt.active)
 		return
 	}
+	wt.progress.Active = false
 	wt.active = make(chan struct{})
 	wt.listed = map[string]int64{}
 	for _, prefix := range wt.Prefixes {
@@ -227,6 +240,11 @@
 
 // Run watches all prefixes until the context is done.
 func (wt *Watcher) Run(ctx context.Context) {
+	wt.lock.Lock()
+	if wt.isActive() {
+		wt.progress.begin(wt.SinceBoot())
+	}
+	wt.lock.Unlock()
 	var watches sync.WaitGroup
 	for _, prefix := range wt.Prefixes {
 		watches.Go(func() { wt.runPrefix(ctx, prefix) })
@@ -271,6 +289,11 @@
 			continue
 		}
 		isFirst = false
+		if errors.Is(err, errOverdue) {
+			from = -1
+			events.WatchFailed.Log(wt.Log, zap.String("prefix", prefix), zap.Error(err))
+			continue
+		}
 		if errors.Is(err, ErrCompacted) {
 			from = -1
 			if !wt.isRestored(prefix) {
@@ -398,53 +421,90 @@
 		return 0, fmt.Errorf("list %s: %w", prefix, ErrOldEra)
 	}
 	wt.applyFrom(prefix, view.Origin{Source: view.SourceStaleList}, objects)
+	wt.lock.Lock()
+	defer wt.lock.Unlock()
+	wt.progress.From = wt.SinceBoot() + wt.Pacing.FirstPause
 	// A short watch confirms the list soon.
-	wt.setSlow(prefix, true)
+	wt.slow[prefix] = true
 	return version, nil
 }
 
 // step lists the prefix if from is negative, else it watches once. It returns
 // the version from which the next watch continues.
 func (wt *Watcher) step(ctx context.Context, prefix string, from int64) (int64, error) {
-	startedAt, answered := time.Now(), wt.beginCall(prefix)
 	if from < 0 {
-		objects, version, err := wt.callList(ctx, prefix)
-		if err != nil {
-			return 0, err
-		}
-		era := view.EraOf(version)
-		if !wt.eras.Observe(era) {
-			return 0, fmt.Errorf("list %s: %w", prefix, ErrOldEra)
-		}
-		objects = append(objects, wt.deletionsOf(prefix, objects, version)...)
-		if mark, ok := view.NewEraMark(prefix, era); ok {
-			objects = append(objects, mark)
-		}
-		wt.applyFrom(prefix, view.Origin{Source: view.SourceList}, objects)
-		wt.confirm(prefix, startedAt, era)
-		answered(version)
-		return version, nil
+		return wt.list(ctx, prefix)
 	}
+	return wt.watch(ctx, prefix, from)
+}
+
+// list lists the prefix, and returns the version from which a watch continues.
+func (wt *Watcher) list(ctx context.Context, prefix string) (int64, error) {
+	startedAt, answered := time.Now(), wt.beginCall(prefix)
+	sentAt := wt.markSent(prefix, 0)
+	objects, version, err := wt.callList(ctx, prefix)
+	if err != nil {
+		wt.markUnanswered(prefix)
+		return 0, err
+	}
+	era := view.EraOf(version)
+	if !wt.eras.Observe(era) {
+		wt.markUnanswered(prefix)
+		return 0, fmt.Errorf("list %s: %w", prefix, ErrOldEra)
+	}
+	objects = append(objects, wt.deletionsOf(prefix, objects, version)...)
+	if mark, ok := view.NewEraMark(prefix, era); ok {
+		objects = append(objects, mark)
+	}
+	wt.applyFrom(prefix, view.Origin{Source: view.SourceList}, objects)
+	wt.confirm(prefix, startedAt, era)
+	if version < wt.newestOf(prefix, version) {
+		// An answer from before a known state tells nothing about the newest.
+		wt.markUnanswered(prefix)
+	} else {
+		wt.markReceived(prefix, sentAt, 0, false)
+	}
+	answered(version)
+	return version, nil
+}
+
+// watch watches the prefix once, and returns the version from which the next watch
+// continues.
+func (wt *Watcher) watch(ctx context.Context, prefix string, from int64) (int64, error) {
+	startedAt, answered := time.Now(), wt.beginCall(prefix)
 	wait := wt.Pacing.MaxWait(prefix)
 	if wt.isSlow(prefix) {
 		wait = min(wait, slowWatchWait)
 	}
-	objects, next, err := wt.callWatch(ctx, prefix, from, wait)
+	sentAt := wt.markSent(prefix, wait)
+	limited, cancel := ctx, func() {}
+	if wt.Pacing.ListOverdue {
+		limited, cancel = context.WithTimeout(ctx, wt.Progress().overdueAt(wait))
+	}
+	defer cancel()
+	objects, next, err := wt.callWatch(limited, prefix, from, wait)
 	if err != nil {
+		wt.markUnanswered(prefix)
+		if ctx.Err() == nil && limited.Err() != nil {
+			return 0, errOverdue
+		}
 		return 0, err
 	}
 	wt.setSlow(prefix, time.Since(startedAt) > wait+slowCallTime)
 	if era := view.EraOf(next); era != view.EraOf(from) {
 		// The watch may have missed changes since the restore.
 		wt.eras.Observe(era)
+		wt.markUnanswered(prefix)
 		return -1, nil
 	}
 	if next < from {
 		events.StaleStore.Log(wt.Log, zap.String("prefix", prefix), zap.Int64("version", next), zap.Int64("known", from))
+		wt.markUnanswered(prefix)
 		return from, nil
 	}
 	wt.applyFrom(prefix, view.Origin{Source: view.SourceWatch}, objects)
 	wt.confirm(prefix, startedAt, view.EraOf(next))
+	wt.markReceived(prefix, sentAt, wait, len(objects) > 0)
 	answered(next)
 	if len(objects) == 0 && wt.Pacing.KeepsHistory != nil && wt.Pacing.KeepsHistory(prefix) && time.Since(startedAt) >= wait {
 		return from, nil
@@ -452,6 +512,13 @@
 	return next, nil
 }
 
+// newestOf returns the highest version that is known for a prefix, one of them given.
+func (wt *Watcher) newestOf(prefix string, known int64) int64 {
+	wt.lock.Lock()
+	defer wt.lock.Unlock()
+	return max(wt.newest[prefix], known)
+}
+
 // beginCall returns a function to call with the version of the answer to a call that is
 // now sent, when it has been applied.
 func (wt *Watcher) beginCall(prefix string) func(version int64) {
