Let watches overlap, so that a change which one missed is found

Whether the users' incident was this is not known.

Cause: after a watch without changes the next one continued from the version in its answer, but for configurations with a strict limit. A change before that version that the watch was not told was never asked for again. A 410 lists all kinds, but comes only if the history that a watch needs is gone.

Change: a watch that brought no change is followed by one from a version that was answered 4 s before, or from the last list or change. It brings the missed change, or a 410 and with that a list. Known changes are not delivered again, as versions with changes are not gone back behind; after 6 answers of 410 within 30 s watches do not overlap for a minute. An answer from before a known version is still refused.

--- a/internal/peer/platform/watcher.go
+++ b/internal/peer/platform/watcher.go
@@ -135,6 +135,7 @@
 	// failedAt is when a call last failed; zero if one was answered since.
 	failedAt time.Time
 	progress progress
+	overlap  overlap
 	// leadListed is closed when the lead prefix was listed or failed too often.
 	leadListed chan struct{}
 	// eras is the store's, or one of its own for a store that tells no era.
@@ -148,7 +149,7 @@
 		confirmedAt: map[string]time.Time{}, newest: map[string]int64{}, slow: map[string]bool{}, refresh: map[string]chan struct{}{},
 		active: make(chan struct{}), listed: map[string]int64{}, leadListed: make(chan struct{}), eras: &Eras{},
 		Answers: &LastAnswer{}, failedSince: map[string]time.Time{},
-		SinceBoot: bootclock.Now, progress: progress{due: map[string]time.Duration{}},
+		SinceBoot: bootclock.Now, progress: progress{due: map[string]time.Duration{}}, overlap: overlap{from: map[string][]versionAt{}},
 	}
 	if source, ok := store.(EraSource); ok {
 		wt.eras = source.Eras()
@@ -296,6 +297,7 @@
 		}
 		if errors.Is(err, ErrCompacted) {
 			from = -1
+			wt.markCompacted()
 			if !wt.isRestored(prefix) {
 				wt.refreshOthers(prefix)
 			}
@@ -410,6 +412,14 @@
 	}
 }
 
+// markCompacted records that the platform dropped its history.
+func (wt *Watcher) markCompacted() {
+	now := wt.SinceBoot()
+	wt.lock.Lock()
+	defer wt.lock.Unlock()
+	wt.overlap.compacted(now)
+}
+
 // listStale applies a list that may be old. It confirms nothing and takes nothing
 // for deleted; the watch that follows brings what has changed since.
 func (wt *Watcher) listStale(ctx context.Context, store StaleLister, prefix string) (int64, error) {
@@ -465,7 +475,7 @@
 		wt.markReceived(prefix, sentAt, 0, false)
 	}
 	answered(version)
-	return version, nil
+	return wt.continueFrom(prefix, version, true), nil
 }
 
 // watch watches the prefix once, and returns the version from which the next watch
@@ -497,8 +507,8 @@
 		wt.markUnanswered(prefix)
 		return -1, nil
 	}
-	if next < from {
-		events.StaleStore.Log(wt.Log, zap.String("prefix", prefix), zap.Int64("version", next), zap.Int64("known", from))
+	if known := wt.newestOf(prefix, from); next < known {
+		events.StaleStore.Log(wt.Log, zap.String("prefix", prefix), zap.Int64("version", next), zap.Int64("known", known))
 		wt.markUnanswered(prefix)
 		return from, nil
 	}
@@ -506,10 +516,11 @@
 	wt.confirm(prefix, startedAt, view.EraOf(next))
 	wt.markReceived(prefix, sentAt, wait, len(objects) > 0)
 	answered(next)
+	overlapped := wt.continueFrom(prefix, next, len(objects) > 0)
 	if len(objects) == 0 && wt.Pacing.KeepsHistory != nil && wt.Pacing.KeepsHistory(prefix) && time.Since(startedAt) >= wait {
 		return from, nil
 	}
-	return next, nil
+	return overlapped, nil
 }
 
 // newestOf returns the highest version that is known for a prefix, one of them given.
@@ -519,6 +530,15 @@
 	return max(wt.newest[prefix], known)
 }
 
+// continueFrom returns the version from which the next watch of a prefix continues after an
+// answer.
+func (wt *Watcher) continueFrom(prefix string, version int64, hasChanges bool) int64 {
+	answered := versionAt{version, wt.SinceBoot()}
+	wt.lock.Lock()
+	defer wt.lock.Unlock()
+	return wt.overlap.next(prefix, answered, hasChanges)
+}
+
 // beginCall returns a function to call with the version of the answer to a call that is
 // now sent, when it has been applied.
 func (wt *Watcher) beginCall(prefix string) func(version int64) {
