Tell callers that there is no route while any confirmation is recent

Confirmations of all objects are dated by the store's answers now, so that either may prove that a missing route was not added. They are read before the configuration, as that of keys is.

TestRouteThatOldConfigurationLacksIsNotDenied has a row for each, of which "all confirmed now" failed before.

--- a/internal/query/forward/forward.go
+++ b/internal/query/forward/forward.go
@@ -247,7 +247,9 @@
 	// configuration has no customers.
 	customer *contract.Customer
 	state    *routeState
-	// keysAsOf is the confirmation of the configuration, read before fleet.
+	// confirmedAt and keysAsOf are the confirmations of all objects and of the configuration,
+	// read before fleet.
+	confirmedAt   time.Time
 	keysAsOf      view.AsOf
 	fleet         *view.Fleet
 	record        *CallRecord
@@ -260,6 +262,7 @@
 // Run answers one call. Its error is a *contract.Refusal.
 func (sv *Service) Run(ctx context.Context, now time.Time, cl Call) (*Reply, error) {
 	rn := &run{call: cl, started: now, record: &CallRecord{ID: cl.Message.ID, RoundTrip: cl.RoundTrip}}
+	rn.confirmedAt = sv.ConfirmedAt()
 	rn.keysAsOf, rn.fleet = sv.keysAndFleet()
 	rn.record.Host, rn.record.Path = rn.call.Message.Host, rn.call.Message.Path()
 	rn.record.Fleet, rn.record.TableAsOf = rn.fleet, rn.keysAsOf
@@ -314,7 +317,7 @@
 	}
 	rn.record.TableVersion = tb.Version
 	// A confirmation may arrive after now was read.
-	rn.record.Age = max(now.Sub(sv.ConfirmedAt()), 0)
+	rn.record.Age = max(now.Sub(rn.confirmedAt), 0)
 	rn.route = tb.Match(rn.record.Host, rn.record.Path)
 	switch {
 	case rn.route == nil && tb.HidesRoutes:
@@ -349,7 +352,7 @@
 
 // noRoute returns the refusal of a request for which the configuration in force has no route.
 func (sv *Service) noRoute(rn *run) *contract.Refusal {
-	if sv.Freshness == nil || sv.KeyBounds().IsUnknown(rn.keysAsOf.Age(sv.SinceBoot())) {
+	if sv.Freshness == nil || sv.KeyBounds().IsUnknown(min(rn.record.Age, rn.keysAsOf.Age(sv.SinceBoot()))) {
 		return contract.NewRefusal(contract.Invalid, contract.CodeNoRoute, "no route has this host and path")
 	}
 	return contract.NewRefusal(contract.NotRun, contract.CodeStaleRoutes, "the configuration has no route for this host and path, and may be too old to know it")
--- a/internal/query/forward/route_test.go
+++ b/internal/query/forward/route_test.go
@@ -15,16 +15,21 @@
 // is no such route, by a VM whose configuration may be older than the route.
 func TestRouteThatOldConfigurationLacksIsNotDenied(t *testing.T) {
 	const applyWithin = 3 * time.Second
+	const never = view.NeverConfirmed
 	tests := []struct {
 		name string
-		age  time.Duration
-		code contract.Code
+		// age is that of the configuration's own confirmation, all that of the confirmation of
+		// all objects.
+		age, all time.Duration
+		code     contract.Code
 	}{
-		{"confirmed now", 0, contract.CodeNoRoute},
-		{"confirmed 2.9 s ago", 2900 * time.Millisecond, contract.CodeNoRoute},
-		{"confirmed 3 s ago", applyWithin, contract.CodeStaleRoutes},
-		{"confirmed an hour ago", time.Hour, contract.CodeStaleRoutes},
-		{"never confirmed", view.NeverConfirmed, contract.CodeStaleRoutes},
+		{"confirmed now", 0, never, contract.CodeNoRoute},
+		{"confirmed 2.9 s ago", 2900 * time.Millisecond, never, contract.CodeNoRoute},
+		{"confirmed 3 s ago", applyWithin, applyWithin, contract.CodeStaleRoutes},
+		{"confirmed an hour ago", time.Hour, never, contract.CodeStaleRoutes},
+		{"never confirmed", never, never, contract.CodeStaleRoutes},
+		{"all confirmed now", applyWithin, 0, contract.CodeNoRoute},
+		{"all confirmed 3 s ago", never, applyWithin, contract.CodeStaleRoutes},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -33,7 +38,9 @@
 			if tt.age < view.NeverConfirmed {
 				sv.Freshness.ConfirmByStore(bootTime-tt.age, 1, 1)
 			}
-			_, err := sv.Run(t.Context(), time.Now(), newCall("/added/1", time.Second))
+			now := time.Now()
+			sv.ConfirmedAt = func() time.Time { return now.Add(-tt.all) }
+			_, err := sv.Run(t.Context(), now, newCall("/added/1", time.Second))
 			refusal := (*contract.Refusal)(nil)
 			assert.Assert(t, errors.As(err, &refusal))
 			assert.Equal(t, refusal.Code, tt.code)
