Count a server's last work from when its record was last known

Callers' requests reached servers that were gone (DRAIN): a server whose record is removed stays the last choice for the drain time less 0.7 s, counted from when a VM learned of the removal. A VM that learned of it late used the server that much too long.

Now a removal counts from the earliest time at which it may have happened: the last answer for that kind before, or what peers had confirmed on a VM that begins to watch. A watch that waited is answered as soon as a change happens. After a silence of the store in which records of running servers may expire, two intervals of their reports, it counts from the answer, so that they get the whole delay to register again.

--- a/internal/node/forwardvm/config.go
+++ b/internal/node/forwardvm/config.go
@@ -41,6 +41,8 @@
 	FirstStart bool
 	// DrainFor is how long a leaving server continues to serve.
 	DrainFor time.Duration
+	// ReportEvery is the interval at which servers report to the platform.
+	ReportEvery time.Duration
 	// ApplyWithin is the time within which a change of the configuration must
 	// take effect.
 	ApplyWithin time.Duration
@@ -82,6 +84,7 @@
 	// The other defaults replace bounds that the settings do not give. They are
 	// those of the smallest site.
 	defaultDrainFor        = 3 * time.Second
+	defaultReportEvery     = 1200 * time.Millisecond
 	defaultApplyWithin     = 3 * time.Second
 	defaultStopWithin      = 6 * time.Second
 	defaultMaxDirectoryTTL = 5 * time.Second
@@ -122,7 +125,7 @@
 // Defaults returns a config in which every field that has a default is set.
 func (Config) Defaults() Config {
 	return Config{
-		DrainFor: defaultDrainFor, ApplyWithin: defaultApplyWithin, StopWithin: defaultStopWithin, DirectoryTTL: defaultDirectoryTTL, MaxDirectoryTTL: defaultMaxDirectoryTTL,
+		DrainFor: defaultDrainFor, ReportEvery: defaultReportEvery, ApplyWithin: defaultApplyWithin, StopWithin: defaultStopWithin, DirectoryTTL: defaultDirectoryTTL, MaxDirectoryTTL: defaultMaxDirectoryTTL,
 		Retries: contract.RetryBudget{Window: defaultRetryWindow}, Quota: contract.QuotaBounds{Window: defaultQuotaWindow},
 		EvacuateWithin: defaultEvacuateWithin,
 		LogLevel:       "info",
--- a/internal/node/forwardvm/process.go
+++ b/internal/node/forwardvm/process.go
@@ -261,7 +261,7 @@
 	ps.unreadable.OnNew = ps.logUnreadable
 	ps.target = &fleetTarget{process: ps, codec: fe.Codec}
 	prefixes := []string{view.PrefixTable, view.PrefixFleetServers}
-	pacing := platform.WatchPacing{MaxWait: ps.watchWait, KeepsHistory: ps.isStrictTable, Pause: watchBatchDelay, ListOverdue: true}
+	pacing := platform.WatchPacing{MaxWait: ps.watchWait, KeepsHistory: ps.isStrictTable, Pause: watchBatchDelay, ListOverdue: true, MaxSilence: cg.maxSilence()}
 	if cg.UsesWarmUp {
 		prefixes = append(prefixes, view.PrefixEvacuations)
 		pacing.Lead = view.PrefixEvacuations
@@ -463,7 +463,7 @@
 	}
 	ps.settings.Update(func(old Config) Config {
 		old.Peers, old.Retries, old.DirectoryTTL, old.MaxDirectoryTTL = cg.Peers, cg.Retries, cg.DirectoryTTL, cg.MaxDirectoryTTL
-		old.DrainFor, old.ApplyWithin, old.StopWithin = cg.DrainFor, cg.ApplyWithin, cg.StopWithin
+		old.DrainFor, old.ReportEvery, old.ApplyWithin, old.StopWithin = cg.DrainFor, cg.ReportEvery, cg.ApplyWithin, cg.StopWithin
 		old.RevokeWithin, old.UsesCustomers = cg.RevokeWithin, cg.UsesCustomers
 		old.Quota, old.WarmUp, old.EvacuateWithin = cg.Quota, cg.WarmUp, cg.EvacuateWithin
 		return old
--- a/internal/node/forwardvm/upkeep.go
+++ b/internal/node/forwardvm/upkeep.go
@@ -33,7 +33,8 @@
 		return 0
 	}
 	ps := ft.process
-	removalDelay := min(ps.settings.Load().DrainFor-removalMargin, maxRemovalDelay)
+	removalDelay := ps.settings.Load().removalDelay()
+	ps.dateRemovals(now, origin, objects)
 	newestAge := ps.Freshness.AsOf().Age(bootclock.Now())
 	var refused []error
 	var before view.Fleet
--- a/internal/peer/platform/progress.go
+++ b/internal/peer/platform/progress.go
@@ -66,6 +66,11 @@
 	Progress
 	// due holds when the open call for each prefix could be answered at the earliest.
 	due map[string]time.Duration
+	// asOf holds the latest time at which an answer held all changes of a prefix.
+	asOf map[string]time.Duration
+	// awayUntil is when the platform last answered after it had been silent for longer than
+	// WatchPacing.MaxSilence; 0 if it never was.
+	awayUntil time.Duration
 }
 
 // begin records that the watcher became active.
@@ -109,12 +114,39 @@
 	defer wt.lock.Unlock()
 	pr := &wt.progress
 	delete(pr.due, prefix)
-	pr.AsOf = max(pr.AsOf, min(now, sentAt+wait))
+	pr.asOf[prefix] = max(pr.asOf[prefix], min(now, sentAt+wait))
+	pr.AsOf = max(pr.AsOf, pr.asOf[prefix])
 	if !hasChanges {
 		pr.Late = max(now-sentAt-wait, 0)
 	}
 }
 
+// promptAfter is how long after it was sent a watch may be answered with changes that happened
+// before. One that waited longer is answered as soon as a change happens.
+const promptAfter = 100 * time.Millisecond
+
+// changesSince returns the earliest time at which the changes may have happened that an answer
+// holds for a prefix: the last time at which all of them were known. It is now if the platform
+// was silent for long meanwhile, and the zero time if this process did not call it before.
+// markReceived is called afterwards.
+func (wt *Watcher) changesSince(now time.Time, prefix string, sentAt time.Duration, isWatch bool) time.Time {
+	sinceBoot := wt.SinceBoot()
+	wt.lock.Lock()
+	defer wt.lock.Unlock()
+	pr := &wt.progress
+	if wt.Pacing.MaxSilence > 0 && sinceBoot-max(pr.AsOf, pr.From) > wt.Pacing.MaxSilence {
+		pr.awayUntil = sinceBoot
+	}
+	known := pr.asOf[prefix]
+	switch {
+	case known <= pr.awayUntil && pr.awayUntil > 0, isWatch && sinceBoot-sentAt > promptAfter:
+		return now
+	case known == 0 || known < pr.From:
+		return time.Time{}
+	}
+	return now.Add(known - sinceBoot)
+}
+
 // Progress returns how far the answers of the platform reach.
 func (wt *Watcher) Progress() Progress {
 	wt.lock.Lock()
--- a/internal/peer/platform/watcher.go
+++ b/internal/peer/platform/watcher.go
@@ -69,6 +69,9 @@
 	// ListOverdue is whether a watch that is overdue is given up and the prefix listed, over
 	// another connection.
 	ListOverdue bool
+	// MaxSilence is how long the platform may be silent without an outage in which the records
+	// of servers that run expire; 0 if that does not matter.
+	MaxSilence time.Duration
 	// KeepsHistory reports whether a watch of a prefix that brought no change is followed
 	// by one from the same version, so that a change that the watch missed is found by the
 	// next one, or its loss noticed; nil if none is.
@@ -149,7 +152,7 @@
 		confirmedAt: map[string]time.Time{}, newest: map[string]int64{}, slow: map[string]bool{}, refresh: map[string]chan struct{}{},
 		active: make(chan struct{}), listed: map[string]int64{}, leadListed: make(chan struct{}), eras: &Eras{},
 		Answers: &LastAnswer{}, failedSince: map[string]time.Time{},
-		SinceBoot: bootclock.Now, progress: progress{due: map[string]time.Duration{}}, overlap: overlap{from: map[string][]versionAt{}},
+		SinceBoot: bootclock.Now, progress: progress{due: map[string]time.Duration{}, asOf: map[string]time.Duration{}}, overlap: overlap{from: map[string][]versionAt{}},
 	}
 	if source, ok := store.(EraSource); ok {
 		wt.eras = source.Eras()
@@ -466,7 +469,7 @@
 	if mark, ok := view.NewEraMark(prefix, era); ok {
 		objects = append(objects, mark)
 	}
-	wt.applyFrom(prefix, view.Origin{Source: view.SourceList}, objects)
+	wt.applyFrom(prefix, view.Origin{Source: view.SourceList, Since: wt.changesSince(time.Now(), prefix, sentAt, false)}, objects)
 	wt.confirm(prefix, startedAt, era)
 	if version < wt.newestOf(prefix, version) {
 		// An answer from before a known state tells nothing about the newest.
@@ -512,7 +515,7 @@
 		wt.markUnanswered(prefix)
 		return from, nil
 	}
-	wt.applyFrom(prefix, view.Origin{Source: view.SourceWatch}, objects)
+	wt.applyFrom(prefix, view.Origin{Source: view.SourceWatch, Since: wt.changesSince(time.Now(), prefix, sentAt, true)}, objects)
 	wt.confirm(prefix, startedAt, view.EraOf(next))
 	wt.markReceived(prefix, sentAt, wait, len(objects) > 0)
 	answered(next)
--- a/internal/world/view/origin.go
+++ b/internal/world/view/origin.go
@@ -28,6 +28,9 @@
 	Source Source
 	// Peer is the name of the entry VM if Source is SourcePeer, else empty.
 	Peer string
+	// Since is the earliest time at which the changes may have happened, by what an answer of
+	// the store says; zero if it was not read, or another source.
+	Since time.Time
 }
 
 // TableRecord tells where the table in force came from.
