Test that restarts in turn cost no limits

A generated order: 7, 30 or 65 VMs restart in turn, planned, some of them cut off from the platform that keeps the roster, and two of three customers send four times their limits. The third one, which sends half of its limit, must be served from 2 s after the last restart on. The order has other zones hear of a VM that is no representative when they join only, as in a large cluster.

--- a/internal/world/contract/rateroster_test.go
+++ b/internal/world/contract/rateroster_test.go
@@ -201,6 +201,58 @@
 	})
 }
 
+// TestRestartsInTurnCostNoLimits guards against a customer below its limit that is refused after
+// planned restarts in turn, while some VMs are cut off from the platform.
+func TestRestartsInTurnCostNoLimits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		count := rapid.SampledFrom([]int{7, 30, 65}).Draw(t, "vms")
+		rates := map[string]contract.SharedRate{
+			"calm": {PerSecond: 20, Burst: 20}, "hot-0": {PerSecond: 10, Burst: 10}, "hot-1": {PerSecond: 30, Burst: 30},
+		}
+		rw := newRateWorld(rapid.Uint64().Draw(t, "seed"), count, rates)
+		rw.representatives = 5
+		rw.keepRoster()
+		rw.run(20 * time.Second)
+		rw.rosters.mask = rapid.Uint64().Draw(t, "mask") | 1<<rapid.IntRange(0, min(count, 64)-1).Draw(t, "reaches")
+		rw.run(time.Duration(rapid.IntRange(0, 4).Draw(t, "cut before")) * time.Second)
+		batch := rapid.IntRange(1, max(count/10, 1)).Draw(t, "at a time")
+		stopTime := time.Duration(rapid.IntRange(1000, 4000).Draw(t, "stop ms")) * time.Millisecond
+		order := rw.random.Perm(count)
+		var last time.Duration
+		for i, at := range order {
+			vm := rw.vms[at]
+			last = time.Duration(i/batch)*time.Second + stopTime
+			rw.after(last-stopTime, func() { vm.leaving = true })
+			rw.after(last, func() { rw.start(vm) })
+		}
+		rw.load("calm", rates["calm"].PerSecond/2, count, last+12*time.Second)
+		for _, hot := range []string{"hot-0", "hot-1"} {
+			rw.load(hot, 4*rates[hot].PerSecond, count, last+12*time.Second)
+		}
+		rw.run(last + 2*time.Second)
+		served := rw.now
+		rw.run(10 * time.Second)
+		for customer := range rates {
+			if worst := rw.worst(customer); worst > 0 {
+				t.Fatalf("%s: %.1f requests too many in a window, allowed are %.1f", customer, worst, rw.bounds.Allowed(rates[customer]))
+			}
+		}
+		refused, admitted := 0, 0
+		for _, at := range rw.refused["calm"] {
+			refused += countAfter(at, served)
+		}
+		for _, at := range rw.admitted["calm"] {
+			admitted += countAfter(at, served)
+		}
+		if refused*20 > admitted {
+			for _, vm := range rw.vms {
+				t.Logf("%s: place %+v, roster %+v", vm.name, vm.place, vm.vms.Roster.Roster())
+			}
+			t.Fatalf("calm: %d of %d requests were refused from 2 s after the last restart on", refused, refused+admitted)
+		}
+	})
+}
+
 func countAfter(at, from time.Time) int {
 	if at.After(from) {
 		return 1
--- a/internal/world/contract/rateworld_test.go
+++ b/internal/world/contract/rateworld_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -29,6 +30,9 @@
 	admitted map[string][]time.Time
 	refused  map[string][]time.Time
 	messages int
+	// representatives is the number of VMs of a zone of which other zones hear after they
+	// joined; 0 if of all.
+	representatives int
 	// rosters keeps the roster; nil if nothing does.
 	rosters *rateRosters
 }
@@ -156,14 +160,40 @@
 	bounds := contract.RateBounds{Customers: rw.bounds}
 	vm.share, vm.owner = contract.NewRateShare(bounds), contract.NewRateOwner(bounds, false)
 	rw.at(vm, 0, func() { rw.beat(vm) })
+	if rw.representatives > 0 {
+		rw.at(vm, time.Duration(rw.random.Int64N(int64(250*time.Millisecond))), func() { rw.join(vm) })
+	}
 	rw.at(vm, 10*time.Millisecond, func() { rw.tick(vm) })
 }
 
-// beat sends heartbeats to all VMs once a second.
-func (rw *rateWorld) beat(vm *ratePlayer) {
-	record := machine.EntryVM{
+func (rw *rateWorld) recordOf(vm *ratePlayer) machine.EntryVM {
+	return machine.EntryVM{
 		Name: vm.name, Zone: vm.zone, EntryAddress: vm.name, Capacity: vm.capacity, Incarnation: uint64(vm.startedAt.UnixNano()), Leaving: vm.leaving, Version: 1, LastHeartbeat: rw.now,
 	}
+}
+
+// join takes over what a peer knows of the others.
+func (rw *rateWorld) join(vm *ratePlayer) {
+	for _, at := range rw.random.Perm(len(rw.vms)) {
+		peer := rw.vms[at]
+		if peer == vm || !peer.alive || rw.isCut(vm, peer) {
+			continue
+		}
+		records := maps.Clone(peer.heard)
+		records[peer.name] = rw.recordOf(peer)
+		delete(records, vm.name)
+		for name, record := range records {
+			if have, ok := vm.heard[name]; !ok || have.LastHeartbeat.Before(record.LastHeartbeat) {
+				vm.heard[name] = record
+			}
+		}
+		return
+	}
+}
+
+// beat sends heartbeats to all VMs once a second.
+func (rw *rateWorld) beat(vm *ratePlayer) {
+	record := rw.recordOf(vm)
 	for _, other := range rw.vms {
 		if other == vm {
 			continue
@@ -171,6 +201,9 @@
 		if rw.isCut(vm, other) || !other.alive || rw.random.Float64() < rw.lost {
 			continue
 		}
+		if _, isKnown := other.heard[vm.name]; isKnown && vm.zone != other.zone && !vm.leaving && !rw.isRepresentative(vm) {
+			continue
+		}
 		// In a large cluster the news passes through hubs.
 		rw.at(other, time.Duration(rw.random.Int64N(int64(1500*time.Millisecond))), func() {
 			if have, ok := other.heard[vm.name]; !ok || have.LastHeartbeat.Before(record.LastHeartbeat) {
@@ -181,8 +214,23 @@
 	rw.at(vm, time.Second, func() { rw.beat(vm) })
 }
 
+// isRepresentative reports whether a VM is one of those of which other zones hear.
+func (rw *rateWorld) isRepresentative(vm *ratePlayer) bool {
+	if rw.representatives == 0 {
+		return true
+	}
+	larger := 0
+	for _, other := range rw.vms {
+		isLarger := other.capacity > vm.capacity || other.capacity == vm.capacity && other.name < vm.name
+		if other.zone == vm.zone && other.alive && !other.leaving && isLarger {
+			larger++
+		}
+	}
+	return larger < rw.representatives
+}
+
 func (rw *rateWorld) tick(vm *ratePlayer) {
-	members := []machine.EntryVM{{Name: vm.name, Zone: vm.zone, EntryAddress: vm.name, Capacity: vm.capacity, Incarnation: uint64(vm.startedAt.UnixNano()), Leaving: vm.leaving, Version: 1, LastHeartbeat: rw.now}}
+	members := []machine.EntryVM{rw.recordOf(vm)}
 	for _, record := range vm.heard {
 		members = append(members, record)
 	}
