Count VMs that are back after a planned stop

Cause: for 3 s after a removal from the roster, only listed VMs count as seen, so that those that were removed because they were silent find the same parts. VMs that stopped were counted so, too, and are not listed before they have been heard for 6 s again. Change: the rule holds only while a VM that was removed is neither heard nor known to have stopped. One that stopped had no part of its own, and as long as all are heard there is no other side.

--- a/internal/world/machine/ratevms.go
+++ b/internal/world/machine/ratevms.go
@@ -173,7 +173,8 @@
 // countSeen returns the number of heard VMs that silent VMs count as well: those that are
 // listed, or without a roster those that were heard before the silence.
 func (rv *RateVMs) countSeen(now time.Time, rp *RatePlacement) int {
-	if rv.Roster == nil || len(rp.Silent) == 0 && len(rv.Roster.unsettled(now)) == 0 {
+	isElsewhere := func(name string) bool { return rv.mayBeElsewhere(now, name) }
+	if rv.Roster == nil || len(rp.Silent) == 0 && !slices.ContainsFunc(rv.Roster.unsettled(now), isElsewhere) {
 		return len(rp.Heard)
 	}
 	since := now
@@ -189,6 +190,13 @@
 	return count
 }
 
+// mayBeElsewhere reports whether a VM may be on another side of a partition: it is not heard,
+// and did not stop.
+func (rv *RateVMs) mayBeElsewhere(now time.Time, name string) bool {
+	known, ok := rv.known[name]
+	return !ok || known.leftAt.IsZero() && !known.readyAt.Equal(now)
+}
+
 // countUnknown returns the number of VMs that the roster lists, or did until a moment ago,
 // and that this process does not know: it was restarted after they were lost. It adds those
 // to the silent ones that are listed.
--- a/internal/world/machine/roster_test.go
+++ b/internal/world/machine/roster_test.go
@@ -417,6 +417,23 @@
 	})
 }
 
+// TestPlannedRestartsCostNoRates guards against limits that fall to a part because VMs that
+// stopped as planned, and were removed from the roster, are back and not listed yet.
+func TestPlannedRestartsCostNoRates(t *testing.T) {
+	rw := newRosterZones(7, 3)
+	rw.run(20*time.Second, func() {})
+	checkAll := func() {
+		sum, _ := rw.granted()
+		assert.Equal(t, sum, 1.0)
+	}
+	for _, ps := range rw.processes[:4] {
+		rw.leave(ps)
+		rw.run(1500*time.Millisecond, checkAll)
+		rw.start(ps)
+	}
+	rw.run(20*time.Second, checkAll)
+}
+
 // TestOldProcessesGrantNoMoreThanRates guards against VMs that were removed from the roster and,
 // since their processes have run for long, write themselves into it in place of those that
 // removed them.
