Keep the places of VMs that stop for a restart

Cause: since the place of a VM that stops goes to the next one in size at once. That one is no representative of its zone, so other zones have heartbeats of it of up to 20 s ago, take it for lost, and grant nothing without the store. Change: while others of the zone that are to be listed are heard, a VM that stopped keeps its place for the 20 s for which it stays a holder. It still grants nothing and is taken off the roster at once; only nobody else gets its place. A process that starts learns so of VMs that stopped a moment before.

Before: TestStopsMakeNoVMsSilent has two VMs silent. After: none; those that don't come back are still replaced.

--- a/internal/world/machine/ratevms.go
+++ b/internal/world/machine/ratevms.go
@@ -112,7 +112,9 @@
 		return known.isGone(now) || known.hasLeft(now)
 	})
 	var owners, reserves, others []string
-	for i, vm := range largestVMs(counting) {
+	sorted := largestVMs(counting)
+	keepsPlaces, places := rv.keepsPlaces(now, sorted), 0
+	for i, vm := range sorted {
 		known := rv.known[vm.Name]
 		isHolder, isHeard := i < ratesPerZone, known.readyAt.Equal(now)
 		if isHolder {
@@ -120,15 +122,19 @@
 		}
 		switch {
 		case !known.leftAt.IsZero():
+			if keepsPlaces {
+				places++
+			}
 			continue
-		case staying >= rv.listedPerZone() && !rv.Roster.lists(vm.Name):
+		case places >= rv.listedPerZone() && !rv.Roster.lists(vm.Name):
 			if isHeard {
 				others = append(others, vm.Name)
 			}
 			continue
-		case staying >= rv.listedPerZone():
+		case places >= rv.listedPerZone():
 			rp.Surplus = append(rp.Surplus, vm.Name)
 		}
+		places++
 		staying++
 		rp.Listed = append(rp.Listed, vm.Name)
 		switch {
@@ -159,6 +165,17 @@
 	return staying
 }
 
+// keepsPlaces reports whether VMs of a zone that left keep their places for a restart: others
+// that are to be listed are heard. The next VMs in size are no representatives, and others
+// would take them for silent.
+func (rv *RateVMs) keepsPlaces(now time.Time, sorted []EntryVM) bool {
+	listed := sorted[:min(len(sorted), rv.listedPerZone())]
+	return rv.Roster != nil && slices.ContainsFunc(listed, func(vm EntryVM) bool {
+		known := rv.known[vm.Name]
+		return known.leftAt.IsZero() && known.readyAt.Equal(now)
+	})
+}
+
 // listedPerZone returns the number of VMs of a zone that may grant rates.
 func (rv *RateVMs) listedPerZone() int {
 	switch {
@@ -320,7 +337,7 @@
 		case ok && vm.Leaving && known.leftAt.IsZero():
 			known.leftAt = now
 			rv.known[vm.Name] = known
-		case !ok && vm.Leaving && rv.Roster.lists(vm.Name):
+		case !ok && vm.Leaving && (rv.Roster.lists(vm.Name) || now.Sub(vm.LastHeartbeat) <= restartTime):
 			rv.known[vm.Name] = rateVM{vm: vm, readyAt: vm.LastHeartbeat.Add(-1), leftAt: now}
 		}
 	}
--- a/internal/world/machine/ratevms_test.go
+++ b/internal/world/machine/ratevms_test.go
@@ -90,3 +90,37 @@
 		})
 	}
 }
+
+// TestStopsMakeNoVMsSilent guards against VMs that are taken for lost because they get the
+// place of one that stops, and of which no heartbeats were passed on before.
+func TestStopsMakeNoVMsSilent(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		// started is set if the process starts after the VM stopped.
+		started bool
+	}{{"heard before", false}, {"after a start", true}} {
+		now := time.Unix(1000, 0)
+		vms := rateVMsOf(now, 30)
+		rk := &RosterKeeper{Self: RosterVM{vms[0].Name, vms[0].EntryAddress}, StartedAt: now.Add(-time.Minute)}
+		rv := RateVMs{Roster: rk}
+		var listed []RosterVM
+		for _, vm := range vms[:3*listedPerZone] {
+			listed = append(listed, RosterVM{vm.Name, vm.EntryAddress})
+		}
+		rk.Answered(now.Add(-10*time.Second), Roster{Revision: 1, VMs: listed})
+		if !tt.started {
+			assert.Equal(t, rv.Update(now, vms, nil).Part, 1.0)
+		}
+		later := now.Add(10 * time.Second)
+		for i := range vms[:3*listedPerZone] {
+			vms[i].LastHeartbeat = later
+		}
+		vms[3].Leaving, vms[4].Leaving = true, true
+		rp := rv.Update(later, vms, nil)
+		assert.Equal(t, len(rp.Silent), 0, tt.name)
+		assert.Equal(t, rp.Part, 1.0, tt.name)
+		// Those that don't come back are replaced.
+		rp = rv.Update(later.Add(restartTime+time.Second), rateVMsOf(later.Add(restartTime+time.Second), 30)[5:], nil)
+		assert.Assert(t, slices.Contains(rp.Listed, vms[3*listedPerZone].Name), tt.name)
+	}
+}
