Pass on heartbeats of all VMs that the roster lists

Cause: zones tell each other of the VMs that serve callers and two more, the largest ones. The roster may list smaller ones in place of VMs that stopped. When those are back, nothing is passed on of the smaller ones, which are still listed. Change: the representatives of a zone include all that the roster lists. TestListedVMsAreRepresentatives checks it; the function took no listed VMs before.

--- a/internal/peer/entry/heartbeat.go
+++ b/internal/peer/entry/heartbeat.go
@@ -85,10 +85,10 @@
 	}
 	if zone != cr.Self.Zone {
 		news = append(news, machine.Hubs(now, cr.Self.Zone, vms)...)
-		return append(news, machine.Representatives(now, cr.Self.Zone, vms)...)
+		return append(news, machine.Representatives(now, cr.Self.Zone, vms, *cr.contacts.Load())...)
 	}
 	for _, each := range zonesOf(vms) {
-		news = append(news, machine.Representatives(now, each, vms)...)
+		news = append(news, machine.Representatives(now, each, vms, *cr.contacts.Load())...)
 	}
 	return news
 }
--- a/internal/world/machine/hubs.go
+++ b/internal/world/machine/hubs.go
@@ -36,7 +36,7 @@
 
 // Representatives returns the entry VMs that others need to know of a zone: those
 // that SelectEntryVMs returns for its callers, and spareRepresentatives more.
-func Representatives(now time.Time, zone string, vms []EntryVM) []EntryVM {
+func Representatives(now time.Time, zone string, vms []EntryVM, listed []string) []EntryVM {
 	var ready []EntryVM
 	for _, vm := range vms {
 		if vm.Zone == zone && vm.IsReady(now) {
@@ -44,5 +44,12 @@
 		}
 	}
 	selected := len(selectLargest(ready))
-	return ready[:min(selected+spareRepresentatives, len(ready))]
+	count := min(selected+spareRepresentatives, len(ready))
+	representatives := slices.Clone(ready[:count])
+	for _, vm := range ready[count:] {
+		if slices.Contains(listed, vm.EntryAddress) {
+			representatives = append(representatives, vm)
+		}
+	}
+	return representatives
 }
--- a/internal/world/machine/selection_test.go
+++ b/internal/world/machine/selection_test.go
@@ -175,3 +175,15 @@
 	vms[1].Leaving = true
 	assert.Equal(t, names(Hubs(now, "zone-a", vms)), "vm-3 vm-1 ")
 }
+
+// TestListedVMsAreRepresentatives guards against VMs that the roster lists and of which other
+// zones hear no more once larger ones are back: they would be taken for lost.
+func TestListedVMsAreRepresentatives(t *testing.T) {
+	now := time.Unix(1000, 0)
+	vms := rateVMsOf(now, 30)
+	var names []string
+	for _, vm := range Representatives(now, "zone-0", vms, []string{vms[3].EntryAddress, vms[28].EntryAddress, vms[27].EntryAddress}) {
+		names = append(names, vm.Name)
+	}
+	assert.DeepEqual(t, names, []string{"vm-000", "vm-003", "vm-006", "vm-009", "vm-012", "vm-027"})
+}
