--- a/internal/world/machine/ratevms.go
+++ b/internal/world/machine/ratevms.go
@@ -112,7 +112,9 @@
 		return known.isGone(now) || known.hasLeft(now)
 	})
 	var owners, reserves, others []string
-	for i, vm := range largestVMs(counting) {
+	sorted := largestVMs(counting)
+	keepsPlaces, places := rv.keepsPlaces(now, sorted), 0
+	for i, vm := range sorted {
 		known := rv.known[vm.Name]
 		isHolder, isHeard := i < ratesPerZone, known.readyAt.Equal(now)
 		if isHolder {
@@ -120,15 +122,19 @@
 		}
 		switch {
 		case !known.leftAt.IsZero():
+			if keepsPlaces {
+				places++
+			}
 			continue
-		case staying >= rv.listedPerZone() && !rv.Roster.lists(vm.Name):
+		case places >= rv.listedPerZone() && !rv.Roster.lists(vm.Name):
 			if isHeard {
 				others = append(others, vm.Name)
 			}
 			continue
-		case staying >= rv.listedPerZone():
+		case places >= rv.listedPerZone():
 			rp.Surplus = append(rp.Surplus, vm.Name)
 		}
+		places++
 		staying++
 		rp.Listed = append(rp.Listed, vm.Name)
 		switch {
@@ -159,6 +165,17 @@
 	return staying
 }
 
+// keepsPlaces reports whether VMs of a zone that left keep their places for a restart: others
+// that are to be listed are heard. The next VMs in size are no representatives, and others
+// would take them for silent.
+func (rv *RateVMs) keepsPlaces(now time.Time, sorted []EntryVM) bool {
+	listed := sorted[:min(len(sorted), rv.listedPerZone())]
+	return rv.Roster != nil && slices.ContainsFunc(listed, func(vm EntryVM) bool {
+		known := rv.known[vm.Name]
+		return known.leftAt.IsZero() && known.readyAt.Equal(now)
+	})
+}
+
 // listedPerZone returns the number of VMs of a zone that may grant rates.
 func (rv *RateVMs) listedPerZone() int {
 	switch {
@@ -173,7 +190,8 @@
 // countSeen returns the number of heard VMs that silent VMs count as well: those that are
 // listed, or without a roster those that were heard before the silence.
 func (rv *RateVMs) countSeen(now time.Time, rp *RatePlacement) int {
-	if rv.Roster == nil || len(rp.Silent) == 0 && len(rv.Roster.unsettled(now)) == 0 {
+	isElsewhere := func(name string) bool { return rv.mayBeElsewhere(now, name) }
+	if rv.Roster == nil || len(rp.Silent) == 0 && !slices.ContainsFunc(rv.Roster.unsettled(now), isElsewhere) {
 		return len(rp.Heard)
 	}
 	since := now
@@ -189,6 +207,13 @@
 	return count
 }
 
+// mayBeElsewhere reports whether a VM may be on another side of a partition: it is not heard,
+// and did not stop.
+func (rv *RateVMs) mayBeElsewhere(now time.Time, name string) bool {
+	known, ok := rv.known[name]
+	return !ok || known.leftAt.IsZero() && !known.readyAt.Equal(now)
+}
+
 // countUnknown returns the number of VMs that the roster lists, or did until a moment ago,
 // and that this process does not know: it was restarted after they were lost. It adds those
 // to the silent ones that are listed.
@@ -312,7 +337,7 @@
 		case ok && vm.Leaving && known.leftAt.IsZero():
 			known.leftAt = now
 			rv.known[vm.Name] = known
-		case !ok && vm.Leaving && rv.Roster.lists(vm.Name):
+		case !ok && vm.Leaving && (rv.Roster.lists(vm.Name) || now.Sub(vm.LastHeartbeat) <= restartTime):
 			rv.known[vm.Name] = rateVM{vm: vm, readyAt: vm.LastHeartbeat.Add(-1), leftAt: now}
 		}
 	}
