--- a/internal/world/machine/hubs.go
+++ b/internal/world/machine/hubs.go
@@ -35,7 +35,8 @@
 }
 
 // Representatives returns the entry VMs that others need to know of a zone: those
-// that SelectEntryVMs returns for its callers, and spareRepresentatives more.
+// that SelectEntryVMs returns for its callers, spareRepresentatives more, and those with one
+// of the listed entry addresses.
 func Representatives(now time.Time, zone string, vms []EntryVM, listed []string) []EntryVM {
 	var ready []EntryVM
 	for _, vm := range vms {
