Confirm nothing while the calls for one kind of object fail

Callers got old services, or requests reached servers that had left, from VMs that were told by a peer that all is confirmed: a VM whose calls for one kind are refused for good was current again with each answer for another kind, and stayed one of those that watch for the others.

A failure now counts until the same kind is answered, for IsCurrent and for FailedWithin. An answer for any kind still wakes the others.

TestFailingPrefixConfirmsNothing failed before.

--- /dev/null
+++ b/internal/peer/platform/failing_prefix_test.go
@@ -0,0 +1,78 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"daisystage.example/daisystage/internal/world/view"
+)
+
+// failingStore is a silentStore that may refuse the calls for one prefix.
+type failingStore struct {
+	*silentStore
+	fails atomic.Bool
+}
+
+var errRefused = errors.New("refused")
+
+func (fs *failingStore) refuse(prefix string) error {
+	if fs.fails.Load() && strings.HasPrefix(prefix, view.PrefixTokens) {
+		time.Sleep(time.Millisecond)
+		return errRefused
+	}
+	return nil
+}
+
+func (fs *failingStore) List(ctx context.Context, prefix string) ([]view.Object, int64, error) {
+	if err := fs.refuse(prefix); err != nil {
+		return nil, 0, err
+	}
+	return fs.silentStore.List(ctx, prefix)
+}
+
+func (fs *failingStore) Watch(ctx context.Context, prefix string, from int64, wait time.Duration) ([]view.Object, int64, error) {
+	if err := fs.refuse(prefix); err != nil {
+		return nil, 0, err
+	}
+	return fs.silentStore.Watch(ctx, prefix, from, wait)
+}
+
+// TestFailingPrefixConfirmsNothing guards against a VM that confirms all objects, and counts as
+// reaching the store, while the calls for one kind fail and those for others are answered.
+func TestFailingPrefixConfirmsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fs := &failingStore{silentStore: newSilentStore()}
+		wt := NewWatcher(fs, watched, &copyTarget{}, WatchPacing{MaxWait: func(string) time.Duration { return time.Second }, ListOverdue: true}, zap.NewNop())
+		wt.SinceBoot = sinceStart()
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			wt.Run(ctx)
+			close(done)
+		}()
+		time.Sleep(3 * time.Second)
+		assert.Assert(t, wt.IsCurrent())
+		fs.fails.Store(true)
+		fs.drop()
+		time.Sleep(2 * time.Second)
+		for range 1000 {
+			time.Sleep(10 * time.Millisecond)
+			assert.Assert(t, !wt.IsCurrent())
+			assert.Assert(t, wt.FailedWithin(time.Now(), 5*time.Second))
+		}
+		fs.fails.Store(false)
+		time.Sleep(3 * time.Second)
+		assert.Assert(t, wt.IsCurrent())
+		assert.Assert(t, !wt.FailedWithin(time.Now(), 5*time.Second))
+		cancel()
+		<-done
+	})
+}
--- a/internal/peer/platform/watcher.go
+++ b/internal/peer/platform/watcher.go
@@ -152,7 +152,7 @@
 		confirmedAt: map[string]time.Time{}, newest: map[string]int64{}, slow: map[string]bool{}, refresh: map[string]chan struct{}{},
 		active: make(chan struct{}), listed: map[string]int64{}, leadListed: make(chan struct{}), eras: &Eras{},
 		Answers: &LastAnswer{}, failedSince: map[string]time.Time{},
-		SinceBoot: bootclock.Now, progress: progress{due: map[string]time.Duration{}, asOf: map[string]time.Duration{}}, overlap: overlap{from: map[string][]versionAt{}},
+		SinceBoot: bootclock.Now, progress: progress{due: map[string]time.Duration{}}, overlap: overlap{from: map[string][]versionAt{}},
 	}
 	if source, ok := store.(EraSource); ok {
 		wt.eras = source.Eras()
@@ -211,12 +211,12 @@
 }
 
 // IsCurrent reports whether the watcher is active, all prefixes were listed in the store's
-// newest era, and no call has failed since the last answer.
+// newest era, and no call has failed since the last answer for its prefix.
 func (wt *Watcher) IsCurrent() bool {
 	era, _ := wt.eras.Newest()
 	wt.lock.Lock()
 	defer wt.lock.Unlock()
-	if !wt.isActive() || wt.recovered != nil {
+	if !wt.isActive() || wt.recovered != nil || len(wt.failedSince) > 0 {
 		return false
 	}
 	return !slices.ContainsFunc(wt.Prefixes, func(prefix string) bool {
@@ -225,8 +225,8 @@
 	})
 }
 
-// FailedWithin reports whether a call failed within a span before now and none
-// was answered since.
+// FailedWithin reports whether a call failed within a span before now, unless calls for all
+// prefixes were answered since.
 func (wt *Watcher) FailedWithin(now time.Time, span time.Duration) bool {
 	wt.lock.Lock()
 	defer wt.lock.Unlock()
