Date removals by versions, also those that a watch missed

Requests reached servers that were gone (DRAIN) when watches learned of no change for a second: the removal came with a later watch and counted from then.

A change happened after the last answer at a lower version, whose time is known from the overlap of watches. A list doesn't tell versions of what it lacks, so that its removals count from the oldest of these answers. A watch that is answered at the end of its wait may have missed a change meanwhile.

--- a/internal/peer/platform/overlap.go
+++ b/internal/peer/platform/overlap.go
@@ -48,6 +48,21 @@
 	return versions[0].version
 }
 
+// lastBefore returns the time of the last answer for a prefix at a lower version than the given
+// one, or of the first that is kept; 0 if none is.
+func (ol *overlap) lastBefore(prefix string, version int64) time.Duration {
+	versions := ol.from[prefix]
+	for at := len(versions) - 1; at > 0; at-- {
+		if versions[at].version < version {
+			return versions[at].at
+		}
+	}
+	if len(versions) == 0 {
+		return 0
+	}
+	return versions[0].at
+}
+
 // compacted records an answer of ErrCompacted.
 func (ol *overlap) compacted(now time.Duration) {
 	ol.losses = append(ol.losses, now)
--- a/internal/peer/platform/progress.go
+++ b/internal/peer/platform/progress.go
@@ -1,6 +1,11 @@
 package platform
 
-import "time"
+import (
+	"math"
+	"time"
+
+	"daisystage.example/daisystage/internal/world/view"
+)
 
 const (
 	// nextAnswerPercent and firstAnswerPercent are the parts of the time within which a
@@ -66,8 +71,6 @@
 	Progress
 	// due holds when the open call for each prefix could be answered at the earliest.
 	due map[string]time.Duration
-	// asOf holds the latest time at which an answer held all changes of a prefix.
-	asOf map[string]time.Duration
 	// awayUntil is when the platform last answered after it had been silent for longer than
 	// WatchPacing.MaxSilence; 0 if it never was.
 	awayUntil time.Duration
@@ -114,22 +117,39 @@
 	defer wt.lock.Unlock()
 	pr := &wt.progress
 	delete(pr.due, prefix)
-	pr.asOf[prefix] = max(pr.asOf[prefix], min(now, sentAt+wait))
-	pr.AsOf = max(pr.AsOf, pr.asOf[prefix])
+	pr.AsOf = max(pr.AsOf, min(now, sentAt+wait))
 	if !hasChanges {
 		pr.Late = max(now-sentAt-wait, 0)
 	}
 }
 
 // promptAfter is how long after it was sent a watch may be answered with changes that happened
-// before. One that waited longer is answered as soon as a change happens.
+// before. One that waited longer, but not to the end, is answered as soon as a change happens.
 const promptAfter = 100 * time.Millisecond
 
-// changesSince returns the earliest time at which the changes may have happened that an answer
-// holds for a prefix: the last time at which all of them were known. It is now if the platform
-// was silent for long meanwhile, and the zero time if this process did not call it before.
-// markReceived is called afterwards.
-func (wt *Watcher) changesSince(now time.Time, prefix string, sentAt time.Duration, isWatch bool) time.Time {
+// listedSince returns the earliest time at which the changes may have happened that a list of a
+// prefix shows. Since watches may miss changes, it is when the version was answered from which
+// the last one continued. It is now if the platform was silent for long meanwhile, and the zero
+// time if this process did not call it before. It is called before markReceived.
+func (wt *Watcher) listedSince(now time.Time, prefix string) time.Time {
+	return wt.changedSince(now, prefix, 0)
+}
+
+// watchedSince is the same for a watch that was sent at sentAt and brought objects.
+func (wt *Watcher) watchedSince(now time.Time, prefix string, objects []view.Object, sentAt, wait time.Duration) time.Time {
+	oldest := int64(math.MaxInt64)
+	for _, ob := range objects {
+		oldest = min(oldest, ob.Version)
+	}
+	if took := wt.SinceBoot() - sentAt; took > promptAfter && took < wait {
+		return now
+	}
+	return wt.changedSince(now, prefix, oldest)
+}
+
+// changedSince returns the time of the last answer for a prefix at a lower version than the
+// given one, or of the first that is known.
+func (wt *Watcher) changedSince(now time.Time, prefix string, version int64) time.Time {
 	sinceBoot := wt.SinceBoot()
 	wt.lock.Lock()
 	defer wt.lock.Unlock()
@@ -137,9 +157,9 @@
 	if wt.Pacing.MaxSilence > 0 && sinceBoot-max(pr.AsOf, pr.From) > wt.Pacing.MaxSilence {
 		pr.awayUntil = sinceBoot
 	}
-	known := pr.asOf[prefix]
+	known := wt.overlap.lastBefore(prefix, version)
 	switch {
-	case known <= pr.awayUntil && pr.awayUntil > 0, isWatch && sinceBoot-sentAt > promptAfter:
+	case pr.awayUntil > 0 && known <= pr.awayUntil:
 		return now
 	case known == 0 || known < pr.From:
 		return time.Time{}
--- a/internal/peer/platform/watcher.go
+++ b/internal/peer/platform/watcher.go
@@ -135,7 +135,7 @@
 	// listed holds the eras in which prefixes were listed since the watcher last became
 	// active.
 	listed map[string]int64
-	// failedAt is when a call last failed; zero if one was answered since.
+	// failedAt is when a call last failed; zero if calls for all prefixes were answered since.
 	failedAt time.Time
 	progress progress
 	overlap  overlap
@@ -408,7 +408,9 @@
 func (wt *Watcher) markAnswered() {
 	wt.lock.Lock()
 	defer wt.lock.Unlock()
-	wt.failedAt = time.Time{}
+	if len(wt.failedSince) == 0 {
+		wt.failedAt = time.Time{}
+	}
 	if wt.recovered != nil {
 		close(wt.recovered)
 		wt.recovered = nil
@@ -469,7 +471,7 @@
 	if mark, ok := view.NewEraMark(prefix, era); ok {
 		objects = append(objects, mark)
 	}
-	wt.applyFrom(prefix, view.Origin{Source: view.SourceList, Since: wt.changesSince(time.Now(), prefix, sentAt, false)}, objects)
+	wt.applyFrom(prefix, view.Origin{Source: view.SourceList, Since: wt.listedSince(time.Now(), prefix)}, objects)
 	wt.confirm(prefix, startedAt, era)
 	if version < wt.newestOf(prefix, version) {
 		// An answer from before a known state tells nothing about the newest.
@@ -515,7 +517,7 @@
 		wt.markUnanswered(prefix)
 		return from, nil
 	}
-	wt.applyFrom(prefix, view.Origin{Source: view.SourceWatch, Since: wt.changesSince(time.Now(), prefix, sentAt, true)}, objects)
+	wt.applyFrom(prefix, view.Origin{Source: view.SourceWatch, Since: wt.watchedSince(time.Now(), prefix, objects, sentAt, wait)}, objects)
 	wt.confirm(prefix, startedAt, view.EraOf(next))
 	wt.markReceived(prefix, sentAt, wait, len(objects) > 0)
 	answered(next)
