--- a/internal/peer/platform/failing_prefix_test.go
+++ b/internal/peer/platform/failing_prefix_test.go
@@ -9,7 +9,6 @@
 	"testing/synctest"
 	"time"
 
-	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
 	"daisystage.example/daisystage/internal/world/view"
@@ -50,14 +49,8 @@
 func TestFailingPrefixConfirmsNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		fs := &failingStore{silentStore: newSilentStore()}
-		wt := NewWatcher(fs, watched, &copyTarget{}, WatchPacing{MaxWait: func(string) time.Duration { return time.Second }, ListOverdue: true}, zap.NewNop())
-		wt.SinceBoot = sinceStart()
-		ctx, cancel := context.WithCancel(t.Context())
-		done := make(chan struct{})
-		go func() {
-			wt.Run(ctx)
-			close(done)
-		}()
+		pacing := WatchPacing{MaxWait: func(string) time.Duration { return time.Second }, ListOverdue: true}
+		wt, stop := startWatcher(t, fs, &copyTarget{}, pacing)
 		time.Sleep(3 * time.Second)
 		assert.Assert(t, wt.IsCurrent())
 		fs.fails.Store(true)
@@ -72,7 +65,6 @@
 		time.Sleep(3 * time.Second)
 		assert.Assert(t, wt.IsCurrent())
 		assert.Assert(t, !wt.FailedWithin(time.Now(), 5*time.Second))
-		cancel()
-		<-done
+		stop()
 	})
 }
--- a/internal/peer/platform/missed_test.go
+++ b/internal/peer/platform/missed_test.go
@@ -1,7 +1,6 @@
 package platform
 
 import (
-	"context"
 	"fmt"
 	"strings"
 	"sync/atomic"
@@ -9,7 +8,6 @@
 	"testing/synctest"
 	"time"
 
-	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
@@ -27,14 +25,7 @@
 		pacing := WatchPacing{Pause: 150 * time.Millisecond, MaxWait: func(prefix string) time.Duration {
 			return time.Second + time.Duration(counts[prefix].Add(1)*int64(len(prefix))*370%1000)*time.Millisecond
 		}}
-		wt := NewWatcher(ss, watched, target, pacing, zap.NewNop())
-		wt.SinceBoot = sinceStart()
-		ctx, cancel := context.WithCancel(t.Context())
-		done := make(chan struct{})
-		go func() {
-			wt.Run(ctx)
-			close(done)
-		}()
+		_, stop := startWatcher(t, ss, target, pacing)
 		time.Sleep(2 * time.Second)
 		do(ss)
 		ss.setSilent(false)
@@ -46,8 +37,7 @@
 			}
 		}
 		target.lock.Unlock()
-		cancel()
-		<-done
+		stop()
 	})
 	return problem, ss
 }
--- a/internal/peer/platform/progress_test.go
+++ b/internal/peer/platform/progress_test.go
@@ -80,14 +80,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ss, target := newSilentStore(), &copyTarget{}
 		pacing := WatchPacing{MaxWait: func(string) time.Duration { return time.Second }, Pause: 100 * time.Millisecond, ListOverdue: true}
-		wt := NewWatcher(ss, watched, target, pacing, zap.NewNop())
-		wt.SinceBoot = sinceStart()
-		ctx, cancel := context.WithCancel(t.Context())
-		done := make(chan struct{})
-		go func() {
-			wt.Run(ctx)
-			close(done)
-		}()
+		wt, stop := startWatcher(t, ss, target, pacing)
 		time.Sleep(500 * time.Millisecond)
 		ss.hangFor(view.PrefixTokens, time.Minute)
 		ss.write("tokens/a")
@@ -98,7 +91,6 @@
 		assert.Equal(t, have, ss.objects["tokens/a"])
 		assert.Assert(t, !wt.Progress().IsUnanswered(wt.SinceBoot(), 3*time.Second))
 		assert.Assert(t, ss.lists <= 4, "%d lists", ss.lists)
-		cancel()
-		<-done
+		stop()
 	})
 }
--- a/internal/peer/platform/silent_store_test.go
+++ b/internal/peer/platform/silent_store_test.go
@@ -6,8 +6,11 @@
 	"fmt"
 	"strings"
 	"sync"
+	"testing"
 	"time"
 
+	"go.uber.org/zap"
+
 	"daisystage.example/daisystage/internal/world/view"
 )
 
@@ -144,3 +147,21 @@
 	start := time.Now()
 	return func() time.Duration { return time.Hour + time.Since(start) }
 }
+
+// startWatcher starts a watcher of a store in a bubble of synctest. The returned function ends
+// it.
+func startWatcher(t *testing.T, store Reader, target Target, pacing WatchPacing) (wt *Watcher, stop func()) {
+	t.Helper()
+	wt = NewWatcher(store, watched, target, pacing, zap.NewNop())
+	wt.SinceBoot = sinceStart()
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		wt.Run(ctx)
+		close(done)
+	}()
+	return wt, func() {
+		cancel()
+		<-done
+	}
+}
