Count an overdue watch as a failure of its kind until that is answered

A watch that was given up as overdue did not count as a failure, so that a VM was current with the answer for servers while its list of configurations still hung, and took the configuration for confirmed until a quarter of a second after that list was sent.

An overdue watch is now recorded like other failures; the VM is current again when its kind is answered.

TestUnansweredPrefixConfirmsNothing failed before.

--- a/internal/peer/platform/failing_prefix_test.go
+++ b/internal/peer/platform/failing_prefix_test.go
@@ -14,10 +14,11 @@
 	"daisystage.example/daisystage/internal/world/view"
 )
 
-// failingStore is a silentStore that may refuse the calls for one prefix.
+// failingStore is a silentStore that may refuse the calls for one prefix, or not answer its
+// lists.
 type failingStore struct {
 	*silentStore
-	fails atomic.Bool
+	fails, hangs atomic.Bool
 }
 
 var errRefused = errors.New("refused")
@@ -34,6 +35,10 @@
 	if err := fs.refuse(prefix); err != nil {
 		return nil, 0, err
 	}
+	if fs.hangs.Load() && strings.HasPrefix(prefix, view.PrefixTokens) {
+		<-ctx.Done()
+		return nil, 0, ctx.Err()
+	}
 	return fs.silentStore.List(ctx, prefix)
 }
 
@@ -68,3 +73,23 @@
 		stop()
 	})
 }
+
+// TestUnansweredPrefixConfirmsNothing is the same while the calls for one kind are not answered,
+// also that which follows an overdue watch.
+func TestUnansweredPrefixConfirmsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fs := &failingStore{silentStore: newSilentStore()}
+		pacing := WatchPacing{MaxWait: func(string) time.Duration { return time.Second }, ListOverdue: true}
+		wt, stop := startWatcher(t, fs, &copyTarget{}, pacing)
+		time.Sleep(3 * time.Second)
+		assert.Assert(t, wt.IsCurrent())
+		fs.hangFor(view.PrefixTokens, time.Minute)
+		fs.hangs.Store(true)
+		time.Sleep(2 * time.Second)
+		for range 500 {
+			time.Sleep(10 * time.Millisecond)
+			assert.Assert(t, !wt.IsCurrent())
+		}
+		stop()
+	})
+}
--- a/internal/peer/platform/watcher.go
+++ b/internal/peer/platform/watcher.go
@@ -501,6 +501,7 @@
 	if err != nil {
 		wt.markUnanswered(prefix)
 		if ctx.Err() == nil && limited.Err() != nil {
+			wt.recordCall(ctx, prefix, err)
 			return 0, errOverdue
 		}
 		return 0, err
